--- /dev/null
+++ b/packages/common/src/createMetrics.ts
@@ -0,0 +1,41 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+
+/** Describes one metric; names carry their unit and labels have few values. */
+interface MetricOptions {
+  name: string
+  help: string
+  labels?: readonly string[]
+}
+
+/** Makes metrics of one registry. */
+export interface Metrics {
+  registry: Registry
+  counter: (options: MetricOptions) => Counter
+  /** `collect` is called at each scrape. */
+  gauge: (options: MetricOptions, collect?: (gauge: Gauge) => void) => Gauge
+  histogram: (options: MetricOptions & { buckets: readonly number[] }) => Histogram
+}
+
+/** Bounds in seconds that suit queue and run times of sub-second tasks. */
+export const TIME_BUCKETS_SECONDS = [0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30] as const
+
+/**
+ * A registry with the process's own metrics.
+ *
+ * @returns makers of further metrics
+ */
+export const createMetrics = (): Metrics => {
+  const registry = new Registry()
+  collectDefaultMetrics({ register: registry })
+  const base = ({ name, help, labels = [] }: MetricOptions) =>
+    ({ name, help, labelNames: [...labels], registers: [registry] })
+  return {
+    registry,
+    counter: (options) => new Counter(base(options)),
+    gauge: (options, collect) => new Gauge({
+      ...base(options),
+      ...(collect && { collect () { collect(this) } })
+    }),
+    histogram: (options) => new Histogram({ ...base(options), buckets: [...options.buckets] })
+  }
+}
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,11 @@
+/** Settings, logs, metrics, errors, clock and backoff shared by all packages. */
+export * from './assertNever.js'
+export * from './backoff.js'
+export * from './clock.js'
+export * from './createLogger.js'
+export * from './createMetrics.js'
+export * from './errors.js'
+export * from './loadSettings.js'
+export * from './random.js'
+export * from './settingFlags.js'
+export * from './types.js'
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,11 @@
+/** Messages, records and settings, generated from the schemas in `proto/`. */
+export * from './constants.js'
+export * from './describeSetting.js'
+export * from './reasons.js'
+export * from './gen/hazellift/v1/api_pb.js'
+export * from './gen/hazellift/v1/options_pb.js'
+export * from './gen/hazellift/v1/peer_pb.js'
+export * from './gen/hazellift/v1/platform_pb.js'
+export * from './gen/hazellift/v1/records_pb.js'
+export * from './gen/hazellift/v1/session_pb.js'
+export * from './gen/hazellift/v1/settings_pb.js'
--- /dev/null
+++ b/packages/protocol/src/reasons.ts
@@ -0,0 +1,51 @@
+/**
+ * Every reason of a refusal, failure or retry; used by errors, logs, counters and docs alike.
+ */
+export const REASONS = {
+  // Requests
+  badRequest: 'bad_request',
+  bodyTooLarge: 'body_too_large',
+  unauthorized: 'unauthorized',
+  forbidden: 'forbidden',
+  notFound: 'not_found',
+  methodNotAllowed: 'method_not_allowed',
+  idConflict: 'id_conflict',
+  versionConflict: 'version_conflict',
+  badPolicy: 'bad_policy',
+  // Admission
+  notReady: 'not_ready',
+  stopping: 'stopping',
+  unknownService: 'unknown_service',
+  noEndpoint: 'no_endpoint',
+  deadlineUnreachable: 'deadline_unreachable',
+  queueFull: 'queue_full',
+  workspaceQueueFull: 'workspace_queue_full',
+  workspaceRate: 'workspace_rate',
+  policyDenied: 'policy_denied',
+  policyFailed: 'policy_failed',
+  storeDown: 'store_down',
+  ownerUnreachable: 'owner_unreachable',
+  // Failures of a job
+  deadline: 'deadline',
+  cancelled: 'cancelled',
+  taskFailed: 'task_failed',
+  agentLost: 'agent_lost',
+  ownerLost: 'owner_lost',
+  takenOver: 'taken_over',
+  stopCut: 'stop_cut',
+  answerUnsaved: 'answer_unsaved',
+  // Ends of a start at an agent
+  endpointError: 'endpoint_error',
+  endpointReset: 'endpoint_reset',
+  endpointRefused: 'endpoint_refused',
+  endpointGone: 'endpoint_gone',
+  badAnswer: 'bad_answer',
+  leaseExpired: 'lease_expired',
+  revoked: 'revoked',
+  staleStart: 'stale_start',
+  duplicateStart: 'duplicate_start',
+  noSlot: 'no_slot',
+  lostStart: 'lost_start',
+  internal: 'internal'
+} as const
+export type Reason = typeof REASONS[keyof typeof REASONS]
