--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const LAYERS = ['common', 'protocol', 'platform', 'coordination', 'entry', 'agent', 'standins']
 
 const forbiddenFor = (name) => {
-  const later = LAYERS.slice(LAYERS.indexOf(name)).filter((other) => name !== 'standins' || other !== name)
+  const later = LAYERS.slice(LAYERS.indexOf(name))
   const siblings = name === 'agent' ? ['entry'] : []
   return [...later, ...siblings].map((other) => `@hazellift/${other}`)
 }
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,2 @@
+/** The agent, for programs that embed it. */
+export * from './startAgent.js'
--- /dev/null
+++ b/packages/agent/src/startAgent.ts
@@ -0,0 +1,113 @@
+import { once } from 'node:events'
+import type { AddressInfo } from 'node:net'
+import { createLogger, createMetrics, systemClock, TIME_BUCKETS_SECONDS } from '@hazellift/common'
+import type { Metrics } from '@hazellift/common'
+import { TaskHost } from '@hazellift/coordination'
+import type { AgentSettings, TaskResult } from '@hazellift/protocol'
+import { ulid } from 'ulid'
+import { AnnouncedEndpoint } from './endpoint/announcedEndpoint.js'
+import { createAgentServer } from './http/createAgentServer.js'
+import { dialEntry } from './sessions/dialEntry.js'
+import { EntryDialer } from './sessions/entryDialer.js'
+
+/** A running agent. */
+export interface RunningAgent {
+  address: string
+  /** Stops gracefully: what runs is finished and its results are delivered. */
+  stop: () => Promise<void>
+  /** Ends a graceful stop early; gives the tasks that are cut. */
+  cut: () => string[]
+}
+
+const DRAIN_CHECK_MS = 20
+const SWEEP_MS = 5000
+/** Longest wait for entries to acknowledge the last results. */
+const LAST_ACK_MS = 2000
+
+const log = createLogger('agent')
+
+const createObserver = ({ counter, histogram }: Metrics) => {
+  const ends = counter({ name: 'hazellift_agent_task_ends_total', help: 'Ended starts', labels: ['outcome', 'reason'] })
+  const seconds = histogram({ name: 'hazellift_agent_run_seconds', help: 'Time at the endpoint', buckets: TIME_BUCKETS_SECONDS })
+  return ({ outcome, reason, runMs }: TaskResult): void => {
+    ends.inc({ outcome, reason })
+    if (runMs > 0) seconds.observe(runMs / 1000)
+  }
+}
+
+const createHost = (settings: AgentSettings, metrics: Metrics) => {
+  const endpoint = new AnnouncedEndpoint({
+    clock: systemClock, host: () => host, silenceMs: settings.endpointSilenceMs, maxAnswerBytes: settings.maxAnswerBytes
+  })
+  const host: TaskHost = new TaskHost({
+    clock: systemClock,
+    runAttempt: endpoint.run,
+    standingCredits: settings.standingCredits,
+    extraCredits: settings.extraCredits,
+    overflowQueue: settings.overflowQueue,
+    startAgeMs: settings.startAgeMs,
+    memoryMs: settings.memoryMs,
+    observe: createObserver(metrics)
+  })
+  metrics.gauge({ name: 'hazellift_agent_busy_tasks', help: 'Tasks that run or wait' }, (gauge) => gauge.set(host.busy))
+  return { host, endpoint }
+}
+
+const createDialer = (settings: AgentSettings, host: TaskHost): EntryDialer => {
+  const incarnation = ulid()
+  const dialer: EntryDialer = new EntryDialer({
+    clock: systemClock,
+    random: Math.random,
+    seeds: settings.seeds,
+    dial: (address, signal) => dialEntry(address, {
+      host,
+      agentId: settings.agentId,
+      incarnation,
+      zone: settings.zone,
+      clusterToken: settings.clusterToken,
+      keepAliveMs: settings.keepAliveMs,
+      timeoutMs: settings.sessionTimeoutMs,
+      onEntries: (addresses) => dialer.onEntries(addresses),
+      signal
+    })
+  })
+  return dialer
+}
+
+const drain = async (host: TaskHost): Promise<void> => {
+  while (host.busy > 0) await systemClock.sleep(DRAIN_CHECK_MS)
+  const until = systemClock.now() + LAST_ACK_MS
+  while (host.unacked > 0 && systemClock.now() < until) await systemClock.sleep(DRAIN_CHECK_MS)
+}
+
+/**
+ * Starts an agent.
+ *
+ * @param settings - checked settings
+ */
+export const startAgent = async (settings: AgentSettings): Promise<RunningAgent> => {
+  const metrics = createMetrics()
+  const { host, endpoint } = createHost(settings, metrics)
+  const dialer = createDialer(settings, host)
+  const server = createAgentServer({ endpoint, registry: metrics.registry, isReady: () => endpoint.isPresent })
+  server.listen(settings.agentPort, settings.listenHost)
+  await once(server, 'listening')
+  const address = `${settings.listenHost}:${(server.address() as AddressInfo).port}`
+  const sweep = setInterval(() => host.sweep(), SWEEP_MS)
+  dialer.start()
+  log('listening', { agent: settings.agentId, address })
+  return {
+    address,
+    stop: async () => {
+      log('stopping', { agent: settings.agentId, busy: host.busy })
+      host.leave()
+      await drain(host)
+      clearInterval(sweep)
+      dialer.stop()
+      server.close()
+      server.closeAllConnections()
+      log('stopped', { agent: settings.agentId })
+    },
+    cut: () => host.abortAll().map(({ workspace, submission, task }) => `${workspace}/${submission}/${task}`)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/config/configWatch.ts
@@ -0,0 +1,135 @@
+import { fromBinary } from '@bufbuild/protobuf'
+import { ok } from '@hazellift/common'
+import type { Clock, Result } from '@hazellift/common'
+import { PolicyRecordSchema, WorkspaceRecordSchema } from '@hazellift/protocol'
+import type { ConfigChange, PolicyRecord, WorkspaceRecord } from '@hazellift/protocol'
+import type { StoreFault } from '@hazellift/platform'
+import { compilePolicy } from '../policy/compilePolicy.js'
+import type { CompileFault, CompiledPolicy } from '../policy/types.js'
+import { CONFIG_KINDS } from './configRows.js'
+import type { ConfigStore } from './configStore.js'
+
+/** A workspace as it is in force here. */
+export interface WorkspaceConfig {
+  record: WorkspaceRecord
+  policy: PolicyRecord | undefined
+  /** Unset where the record's policy does not compile here. */
+  compiled: CompiledPolicy | undefined
+}
+
+/** What the watch needs. */
+export interface ConfigWatchOptions {
+  store: Pick<ConfigStore, 'changesAfter' | 'headVersion' | 'records'>
+  clock: Clock
+  pollMs: number
+  onChange: () => void
+  onBadPolicy: (workspace: string, faults: CompileFault[]) => void
+}
+
+const PAGE_SIZE = 200
+
+/**
+ * The configuration in force at this entry.
+ *
+ * Invariant: the version in force only grows, and each record is replaced by
+ * one of a higher version only.
+ */
+export class ConfigWatch {
+  private readonly workspaces = new Map<string, WorkspaceRecord>()
+  private readonly policies = new Map<string, { record: PolicyRecord, compiled: CompiledPolicy | undefined }>()
+  private inForce = 0n
+  private loaded = false
+  private stopped = false
+
+  constructor (private readonly options: ConfigWatchOptions) {}
+
+  /** The version in force. */
+  get version (): bigint {
+    return this.inForce
+  }
+
+  /** True once the whole configuration was read. */
+  get isLoaded (): boolean {
+    return this.loaded
+  }
+
+  /** Names of all workspaces. */
+  get names (): string[] {
+    return [...this.workspaces.values()].filter(({ deleted }) => !deleted).map(({ name }) => name).sort()
+  }
+
+  /** A workspace, unless it does not exist or was deleted. */
+  find (name: string): WorkspaceConfig | undefined {
+    const record = this.workspaces.get(name)
+    if (record === undefined || record.deleted) return undefined
+    const policy = this.policies.get(name)
+    return { record, policy: policy?.record, compiled: policy === undefined ? DEFAULT_POLICY : policy.compiled }
+  }
+
+  /** Runs until `stop`; resolves then. */
+  async run (): Promise<void> {
+    while (!this.stopped) {
+      await this.refresh()
+      await this.options.clock.sleep(this.options.pollMs)
+    }
+  }
+
+  /** Ends `run` after its current pass. */
+  stop (): void {
+    this.stopped = true
+  }
+
+  /** Reads what is new, now. */
+  async refresh (): Promise<Result<bigint, StoreFault>> {
+    if (!this.loaded) return this.load()
+    const head = await this.options.store.headVersion()
+    if (!head.ok) return head
+    while (this.inForce < head.value) {
+      const changes = await this.options.store.changesAfter(this.inForce, PAGE_SIZE)
+      if (!changes.ok) return changes
+      if (changes.value.length === 0) break
+      for (const change of changes.value) this.applyChange(change)
+      this.options.onChange()
+    }
+    return ok(this.inForce)
+  }
+
+  private async load (): Promise<Result<bigint, StoreFault>> {
+    // The head is read first: records read after it are at least as new.
+    const head = await this.options.store.headVersion()
+    if (!head.ok) return head
+    const workspaces = await this.options.store.records(CONFIG_KINDS.workspace)
+    if (!workspaces.ok) return workspaces
+    const policies = await this.options.store.records(CONFIG_KINDS.policy)
+    if (!policies.ok) return policies
+    for (const { value } of workspaces.value) this.applyWorkspace(fromBinary(WorkspaceRecordSchema, value))
+    for (const { value } of policies.value) this.applyPolicy(fromBinary(PolicyRecordSchema, value))
+    this.inForce = head.value
+    this.loaded = true
+    this.options.onChange()
+    return ok(this.inForce)
+  }
+
+  private applyChange (change: ConfigChange): void {
+    if (change.version <= this.inForce) return
+    if (change.workspace !== undefined) this.applyWorkspace(change.workspace)
+    if (change.policy !== undefined) this.applyPolicy(change.policy)
+    this.inForce = change.version
+  }
+
+  private applyWorkspace (record: WorkspaceRecord): void {
+    const before = this.workspaces.get(record.name)
+    if (before === undefined || before.version < record.version) this.workspaces.set(record.name, record)
+  }
+
+  private applyPolicy (record: PolicyRecord): void {
+    const before = this.policies.get(record.workspace)
+    if (before !== undefined && before.record.version >= record.version) return
+    const compiled = compilePolicy(record)
+    if (!compiled.ok) this.options.onBadPolicy(record.workspace, compiled.err)
+    this.policies.set(record.workspace, { record, compiled: compiled.ok ? compiled.value : undefined })
+  }
+}
+
+const compiledDefault = compilePolicy({})
+const DEFAULT_POLICY = compiledDefault.ok ? compiledDefault.value : undefined
--- /dev/null
+++ b/packages/coordination/src/dispatch/agentHandle.ts
@@ -0,0 +1,69 @@
+import type { EntryFrame } from '@hazellift/protocol'
+import type { Job } from '../jobs/job.js'
+
+/** The open session to an agent, as the dispatcher uses it. */
+export interface AgentLink {
+  /** Adds to the next frame. */
+  add: (add: (frame: EntryFrame) => void) => void
+  close: () => void
+}
+
+/** A start in flight. */
+export interface SentTask {
+  job: Job
+  task: number
+  sentAt: number
+  /** Charged to the workspace when it was sent, in ms. */
+  estimateMs: number
+}
+
+/** What an entry knows of one agent and its endpoint. */
+export interface AgentHandle {
+  agentId: string
+  incarnation: string
+  zone: string
+  service: string
+  slots: number
+  address: string
+  leaving: boolean
+  /** Unset while no session is open. */
+  link: AgentLink | undefined
+  /** False until the agent told what it holds. */
+  resumed: boolean
+  credits: number
+  /** Slots that no entry held a credit for, as the agent said last. */
+  free: number
+  /** Demand that the agent was told last. */
+  toldDemand: number
+  /** The agent's own clock, as it said last. */
+  stampMs: number
+  lastSeenAt: number
+  sent: Map<string, SentTask>
+  cancelLossTimer: (() => void) | undefined
+}
+
+/**
+ * A handle for an agent that said hello.
+ *
+ * @param agentId - the agent's name
+ * @param incarnation - its process
+ * @param zone - its availability zone
+ */
+export const createAgentHandle = (agentId: string, incarnation: string, zone: string): AgentHandle => ({
+  agentId,
+  incarnation,
+  zone,
+  service: '',
+  slots: 0,
+  address: '',
+  leaving: false,
+  link: undefined,
+  resumed: false,
+  credits: 0,
+  free: 0,
+  toldDemand: 0,
+  stampMs: 0,
+  lastSeenAt: 0,
+  sent: new Map(),
+  cancelLossTimer: undefined
+})
--- /dev/null
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -0,0 +1,437 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock, Random } from '@hazellift/common'
+import { CollectSchema, REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES } from '@hazellift/protocol'
+import type { AgentFrame, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
+import { TASK_STATES, isFinished } from '../jobs/job.js'
+import type { Job } from '../jobs/job.js'
+import type { JobOrder } from '../queue/fairQueue.js'
+import { submissionKey, taskKey } from '../tasks/keys.js'
+import { createAgentHandle } from './agentHandle.js'
+import type { AgentHandle, AgentLink, SentTask } from './agentHandle.js'
+import { refreshDemand, spreadDemand } from './demand.js'
+import type { PickRule } from './pickRules.js'
+import { ServiceState } from './serviceState.js'
+
+/** What the dispatcher tells the owner of the jobs. */
+export interface DispatchEvents {
+  /** All tasks are done. */
+  complete: (job: Job) => void
+  /** The job cannot complete any more. */
+  failed: (job: Job, reason: Reason, message: string) => void
+  /** Another entry took the claim over. */
+  takenOver: (job: Job) => void
+  started: (job: Job, waitedMs: number) => void
+  ended: (job: Job, result: TaskResult) => void
+  /** A start that was sent again, or a result nobody waited for, by reason. */
+  wasted: (reason: Reason) => void
+}
+
+/** What the dispatcher needs. */
+export interface DispatcherOptions {
+  clock: Clock
+  random: Random
+  zone: string
+  rule: PickRule
+  order: JobOrder
+  events: DispatchEvents
+  weightOf: (workspace: string) => number
+  maxRunningOf: (workspace: string) => number
+  /** Longest time that tasks at a lost agent wait for its session to resume, in ms. */
+  resumeWindowMs: number
+  /** How long a takeover waits for agents to say what they know, in ms. */
+  collectTimeoutMs: number
+  setAsideShare: number
+  setAsideBackoff: (times: number) => number
+  /** Runs `fn` after the events that are ready now. */
+  defer: (fn: () => void) => void
+}
+
+const ASSUMED_RUN_MS = 100
+/** Reasons by which an agent turned a start away that say nothing about its endpoint. */
+const NEUTRAL_REASONS: ReadonlySet<string> = new Set([
+  REASONS.noSlot, REASONS.staleStart, REASONS.endpointGone, REASONS.lostStart, REASONS.revoked, REASONS.takenOver,
+  REASONS.stopCut
+])
+
+/**
+ * Queues of one entry and the starts it has in flight.
+ *
+ * Invariant: a task is in exactly one state, and leaves `sent` only by a
+ * result, by proof that its start was not accepted, or with its job's failure.
+ */
+export class Dispatcher {
+  private readonly services = new Map<string, ServiceState>()
+  private readonly agents = new Map<string, AgentHandle>()
+  private readonly jobs = new Map<string, Job>()
+  private readonly runningOf = new Map<string, number>()
+
+  constructor (private readonly options: DispatcherOptions) {}
+
+  /** All agents known, with a session or waiting for one to resume. */
+  get knownAgents (): AgentHandle[] {
+    return [...this.agents.values()]
+  }
+
+  /** Jobs that are not finished. */
+  get openJobs (): number {
+    return this.jobs.size
+  }
+
+  /** The state of a service, if an endpoint or a job ever named it. */
+  service (name: string): ServiceState | undefined {
+    return this.services.get(name)
+  }
+
+  /** Services with endpoints or queued tasks. */
+  get serviceNames (): string[] {
+    return [...this.services.keys()]
+  }
+
+  /** Tasks of a workspace in flight from this entry. */
+  runningTasks (workspace: string): number {
+    return this.runningOf.get(workspace) ?? 0
+  }
+
+  /** Tasks of a workspace that wait at this entry. */
+  queuedTasks (workspace: string): number {
+    return [...this.services.values()].reduce((sum, { queue }) => sum + queue.queuedOf(workspace), 0)
+  }
+
+  /** Tasks of all workspaces that wait at this entry. */
+  get queuedTotal (): number {
+    return [...this.services.values()].reduce((sum, { queue }) => sum + queue.size, 0)
+  }
+
+  /** Starts the tasks of a job that this entry owns. */
+  add (job: Job): void {
+    this.jobs.set(job.key, job)
+    const service = this.serviceOf(job.service)
+    service.queue.add(job)
+    this.schedulePump(service)
+  }
+
+  /** Asks all agents what they know of a job taken over; nothing of it starts any more. */
+  collect (job: Job): void {
+    this.jobs.set(job.key, job)
+    const open = this.knownAgents.filter(({ link, resumed }) => link !== undefined && resumed)
+    job.collecting = new Set(open.map(({ agentId }) => agentId))
+    const message = create(CollectSchema, { workspace: job.workspace, submission: job.id })
+    for (const { link } of open) link!.add((frame) => { frame.collects.push(message) })
+    this.options.clock.after(this.options.collectTimeoutMs, () => this.endCollect(job))
+    if (open.length === 0) this.endCollect(job)
+  }
+
+  /** Ends a job early: what waits is dropped, what runs is aborted. */
+  drop (job: Job): void {
+    const message = create(RevokeSchema, { workspace: job.workspace, submission: job.id })
+    for (const agent of this.release(job)) agent.link?.add((frame) => { frame.revokes.push(message) })
+  }
+
+  /**
+   * Lets go of a job without ending what runs, as another entry owns it now.
+   *
+   * @returns the agents that had a start of it
+   */
+  release (job: Job): AgentHandle[] {
+    this.services.get(job.service)?.queue.remove(job)
+    job.queue = []
+    this.jobs.delete(job.key)
+    const holders = this.knownAgents.filter((agent) => {
+      const sent = [...agent.sent].filter(([, entry]) => entry.job === job)
+      for (const [key] of sent) this.forget(agent, key)
+      return sent.length > 0
+    })
+    this.pumpAll()
+    return holders
+  }
+
+  /** An agent opened a session. An earlier one with it is over. */
+  open (hello: Hello, link: AgentLink): AgentHandle {
+    const known = this.agents.get(hello.agentId)
+    if (known !== undefined && known.incarnation !== hello.incarnation) this.loseAgent(known)
+    const agent = this.agents.get(hello.agentId) ?? createAgentHandle(hello.agentId, hello.incarnation, hello.zone)
+    this.agents.set(agent.agentId, agent)
+    agent.link?.close()
+    agent.cancelLossTimer?.()
+    agent.cancelLossTimer = undefined
+    Object.assign(agent, { link, resumed: false, credits: 0, free: 0, toldDemand: 0 })
+    return agent
+  }
+
+  /** Handles what an agent sent. */
+  onFrame (agent: AgentHandle, link: AgentLink, frame: AgentFrame): void {
+    if (agent.link !== link) return
+    const silentMs = this.options.clock.now() - agent.lastSeenAt
+    agent.lastSeenAt = this.options.clock.now()
+    agent.stampMs = frame.stampMs
+    agent.free = frame.free
+    if (frame.endpoint !== undefined) this.setEndpoint(agent, frame.endpoint)
+    if (frame.leaving) this.setLeaving(agent)
+    for (const result of frame.results) this.onResult(agent, result)
+    if (frame.resume !== undefined) this.onResume(agent, frame.resume.held, silentMs)
+    for (const { workspace, submission, running } of frame.collected) {
+      this.onCollected(agent, submissionKey(workspace, submission), running)
+    }
+    if (frame.credits > 0) agent.credits += frame.credits
+    if (frame.recall > 0) this.returnCredits(agent, frame.recall)
+    // A result may lift the limit of a workspace that waits for another service.
+    this.pumpAll()
+  }
+
+  /** The session ended; its tasks wait for it to resume. */
+  closed (agent: AgentHandle, link: AgentLink): void {
+    if (agent.link !== link) return
+    agent.link = undefined
+    agent.credits = 0
+    agent.cancelLossTimer = this.options.clock.after(this.options.resumeWindowMs, () => this.loseAgent(agent))
+  }
+
+  /** Runs a pass over every queue, as limits or weights changed. */
+  pumpAll (): void {
+    for (const service of this.services.values()) if (service.queue.size > 0) this.schedulePump(service)
+  }
+
+  private serviceOf (name: string): ServiceState {
+    const known = this.services.get(name)
+    if (known !== undefined) return known
+    const { order, weightOf, maxRunningOf, clock, setAsideShare, setAsideBackoff } = this.options
+    const mayRun = (workspace: string) => this.runningTasks(workspace) < maxRunningOf(workspace)
+    const service = new ServiceState(
+      { order, weightOf, mayRun },
+      { now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff })
+    this.services.set(name, service)
+    return service
+  }
+
+  private schedulePump (service: ServiceState): void {
+    if (service.pumpDue) return
+    service.pumpDue = true
+    this.options.defer(() => {
+      service.pumpDue = false
+      this.pump(service)
+    })
+  }
+
+  private pump (service: ServiceState): void {
+    if (service.queue.size === 0) return
+    const { rule, zone, random } = this.options
+    const agents = service.open
+    const context = { zone, random, health: service.health }
+    const used = new Set<AgentHandle>()
+    while (service.queue.size > 0) {
+      const agent = rule.pick(agents, context)
+      if (agent === undefined) break
+      const next = service.queue.take()
+      if (next === undefined) break
+      this.send(service, agent, next.job, next.task)
+      used.add(agent)
+    }
+    if (!rule.needsCredit) return
+    const waiting = service.queue.runnable
+    for (const agent of used) refreshDemand(agent, waiting, agents.length)
+    spreadDemand(agents.filter(({ agentId }) => service.health.maySend(agentId)), waiting)
+  }
+
+  private send (service: ServiceState, agent: AgentHandle, job: Job, index: number): void {
+    const task = job.tasks[index]!
+    const now = this.options.clock.now()
+    const estimateMs = service.health.meanMs || ASSUMED_RUN_MS
+    const key = { workspace: job.workspace, submission: job.id, task: index } as TaskKey
+    const start = create(StartSchema, { key, payload: task.payload, stampMs: agent.stampMs, leaseMs: job.leaseMs })
+    task.state = TASK_STATES.sent
+    task.agentId = agent.agentId
+    job.mayHaveRun++
+    if (this.options.rule.needsCredit) agent.credits--
+    agent.sent.set(taskKey(key), { job, task: index, sentAt: now, estimateMs })
+    service.health.sent(agent.agentId)
+    service.queue.charge(job.workspace, estimateMs)
+    this.runningOf.set(job.workspace, this.runningTasks(job.workspace) + 1)
+    agent.link!.add((frame) => { frame.starts.push(start) })
+    this.options.events.started(job, now - task.queuedAt)
+  }
+
+  /** Removes a start from those in flight. */
+  private forget (agent: AgentHandle, key: string): SentTask | undefined {
+    const sent = agent.sent.get(key)
+    if (sent === undefined) return undefined
+    agent.sent.delete(key)
+    const { workspace } = sent.job
+    const running = this.runningTasks(workspace) - 1
+    if (running > 0) this.runningOf.set(workspace, running)
+    else this.runningOf.delete(workspace)
+    return sent
+  }
+
+  private onResult (agent: AgentHandle, result: TaskResult): void {
+    agent.link?.add((frame) => { frame.ackedSeq = result.seq })
+    const key = result.key!
+    const sent = this.forget(agent, taskKey(key))
+    if (sent !== undefined) this.settleCharge(sent, result)
+    const job = this.jobs.get(submissionKey(key.workspace, key.submission))
+    const task = job?.tasks[key.task]
+    const isAwaited = task !== undefined && (sent !== undefined || task.state === TASK_STATES.unknown)
+    if (job === undefined || task === undefined || !isAwaited) return this.options.events.wasted(result.reason as Reason || REASONS.duplicateStart)
+    this.settleTask(agent, job, key.task, result)
+  }
+
+  private settleCharge ({ job, estimateMs }: SentTask, result: TaskResult): void {
+    this.services.get(job.service)?.queue.charge(job.workspace, result.runMs - estimateMs)
+  }
+
+  private settleTask (agent: AgentHandle, job: Job, index: number, result: TaskResult): void {
+    this.options.events.ended(job, result)
+    this.judgeEndpoint(agent, job.service, result)
+    if (result.reason === REASONS.takenOver) return this.options.events.takenOver(job)
+    if (result.outcome === TASK_OUTCOMES.done) return this.onDone(job, index, result.body)
+    if (result.outcome === TASK_OUTCOMES.notStarted) return this.onNotStarted(job, index, result.reason as Reason)
+    this.onFailed(job, index, result)
+  }
+
+  private judgeEndpoint (agent: AgentHandle, serviceName: string, result: TaskResult): void {
+    const health = this.services.get(serviceName)?.health
+    if (health === undefined) return
+    if (result.outcome === TASK_OUTCOMES.done) return health.succeeded(agent.agentId, result.runMs)
+    if (NEUTRAL_REASONS.has(result.reason)) return health.unsent(agent.agentId)
+    health.failed(agent.agentId)
+  }
+
+  private onDone (job: Job, index: number, body: string): void {
+    const task = job.tasks[index]!
+    task.state = TASK_STATES.done
+    task.result = body
+    job.hasRun = true
+    job.doneCount++
+    if (job.doneCount < job.tasks.length) return
+    this.jobs.delete(job.key)
+    this.options.events.complete(job)
+  }
+
+  /** The start is proved void, so the task may be sent elsewhere. */
+  private onNotStarted (job: Job, index: number, reason: Reason): void {
+    this.options.events.wasted(reason)
+    if (job.collecting !== undefined) return this.options.events.failed(job, REASONS.ownerLost, 'a task never started')
+    job.mayHaveRun--
+    this.requeue(job, index)
+  }
+
+  private onFailed (job: Job, index: number, result: TaskResult): void {
+    const task = job.tasks[index]!
+    job.hasRun = true
+    task.failures++
+    const mayRetry = !job.unrepeatable && job.collecting === undefined && task.failures <= job.retries
+    if (mayRetry) return this.requeue(job, index)
+    const detail = result.body === '' ? '' : `: ${result.body}`
+    this.options.events.failed(job, REASONS.taskFailed, `task ${index}: ${result.reason}${detail}`)
+  }
+
+  private requeue (job: Job, index: number): void {
+    const task = job.tasks[index]!
+    task.state = TASK_STATES.queued
+    task.queuedAt = this.options.clock.now()
+    const service = this.serviceOf(job.service)
+    service.queue.putBack(job, index)
+    this.schedulePump(service)
+  }
+
+  /**
+   * A session resumed. A start that the agent does not hold was never accepted,
+   * provided the agent cannot have forgotten it: its memory is far longer than
+   * the resume window.
+   */
+  private onResume (agent: AgentHandle, held: TaskKey[], silentMs: number): void {
+    agent.resumed = true
+    const heldKeys = new Set(held.map(taskKey))
+    const missing = [...agent.sent].filter(([key]) => !heldKeys.has(key))
+    const mayRequeue = silentMs <= this.options.resumeWindowMs
+    for (const [key, { job, task }] of missing) {
+      this.forget(agent, key)
+      if (mayRequeue) this.onNotStarted(job, task, REASONS.lostStart)
+      else this.failLost(job, agent)
+    }
+    this.revokeUnknown(agent, held)
+  }
+
+  private revokeUnknown (agent: AgentHandle, held: TaskKey[]): void {
+    const unknown = held.filter((key) => !agent.sent.has(taskKey(key)) &&
+      !this.jobs.has(submissionKey(key.workspace, key.submission)))
+    for (const { workspace, submission, task } of unknown) {
+      const message = create(RevokeSchema, { workspace, submission, tasks: [task] })
+      agent.link?.add((frame) => { frame.revokes.push(message) })
+    }
+  }
+
+  private onCollected (agent: AgentHandle, key: string, running: number[]): void {
+    const job = this.jobs.get(key)
+    if (job?.collecting === undefined) return
+    for (const index of running) this.expectResult(agent, job, index)
+    job.collecting.delete(agent.agentId)
+    if (job.collecting.size === 0) this.endCollect(job)
+  }
+
+  private expectResult (agent: AgentHandle, job: Job, index: number): void {
+    const task = job.tasks[index]
+    if (task === undefined || task.state !== TASK_STATES.unknown) return
+    task.state = TASK_STATES.sent
+    task.agentId = agent.agentId
+    const key = taskKey({ workspace: job.workspace, submission: job.id, task: index } as TaskKey)
+    agent.sent.set(key, { job, task: index, sentAt: this.options.clock.now(), estimateMs: 0 })
+    this.runningOf.set(job.workspace, this.runningTasks(job.workspace) + 1)
+  }
+
+  private endCollect (job: Job): void {
+    if (isFinished(job) || !this.jobs.has(job.key)) return
+    const isMissing = job.tasks.some(({ state }) => state === TASK_STATES.unknown)
+    if (isMissing) this.options.events.failed(job, REASONS.ownerLost, 'the owner was lost and no agent reached knows all tasks')
+  }
+
+  /** The agent is gone with what it held. */
+  private loseAgent (agent: AgentHandle): void {
+    agent.cancelLossTimer?.()
+    agent.link?.close()
+    this.setService(agent, '')
+    this.agents.delete(agent.agentId)
+    for (const [key, { job }] of [...agent.sent]) {
+      this.forget(agent, key)
+      this.failLost(job, agent)
+    }
+  }
+
+  private failLost (job: Job, agent: AgentHandle): void {
+    if (isFinished(job)) return
+    this.options.events.failed(job, REASONS.agentLost, `agent ${agent.agentId} was lost with a task in its hands`)
+  }
+
+  private setEndpoint (agent: AgentHandle, { service, slots, address }: { service: string, slots: number, address: string }): void {
+    // Credits for the endpoint's earlier state are void at the agent, too.
+    agent.credits = 0
+    agent.toldDemand = 0
+    agent.slots = slots
+    agent.address = address
+    this.setService(agent, service)
+  }
+
+  private setLeaving (agent: AgentHandle): void {
+    agent.leaving = true
+    agent.credits = 0
+  }
+
+  private setService (agent: AgentHandle, name: string): void {
+    if (agent.service === name) return
+    const before = this.services.get(agent.service)
+    before?.agents.delete(agent.agentId)
+    before?.health.remove(agent.agentId)
+    agent.service = name
+    if (name === '') return
+    const service = this.serviceOf(name)
+    service.agents.set(agent.agentId, agent)
+    service.health.add(agent.agentId)
+  }
+
+  private returnCredits (agent: AgentHandle, wanted: number): void {
+    const waiting = this.services.get(agent.service)?.queue.runnable ?? 0
+    const credits = waiting > 0 ? 0 : Math.min(wanted, agent.credits)
+    if (credits === 0) return
+    agent.credits -= credits
+    agent.link?.add((frame) => { frame.returnedCredits += credits })
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/dispatch/serviceState.ts
@@ -0,0 +1,29 @@
+import { EndpointHealth } from '../health/endpointHealth.js'
+import type { EndpointHealthOptions } from '../health/endpointHealth.js'
+import { FairQueue } from '../queue/fairQueue.js'
+import type { FairQueueOptions } from '../queue/fairQueue.js'
+import type { AgentHandle } from './agentHandle.js'
+
+/** Queue, endpoints and their health of one service at one entry. */
+export class ServiceState {
+  readonly queue: FairQueue
+  readonly health: EndpointHealth
+  readonly agents = new Map<string, AgentHandle>()
+  /** True while a pass over the queue is due. */
+  pumpDue = false
+
+  constructor (queueOptions: FairQueueOptions, healthOptions: EndpointHealthOptions) {
+    this.queue = new FairQueue(queueOptions)
+    this.health = new EndpointHealth(healthOptions)
+  }
+
+  /** Agents that take new work. */
+  get open (): AgentHandle[] {
+    return [...this.agents.values()].filter(({ link, resumed, leaving }) => link !== undefined && resumed && !leaving)
+  }
+
+  /** Slots of all endpoints that take new work. */
+  get slots (): number {
+    return this.open.reduce((sum, { slots }) => sum + slots, 0)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/health/endpointHealth.ts
@@ -0,0 +1,151 @@
+import { HEALTH_STATES } from '@hazellift/protocol'
+import type { HealthState } from '@hazellift/protocol'
+
+/** Bounds for setting endpoints aside. */
+export interface EndpointHealthOptions {
+  now: () => number
+  /** Largest share of a service's endpoints that may be set aside. */
+  maxShare: number
+  /** Time aside, by the number of times in a row. */
+  backoff: (times: number) => number
+}
+
+interface EndpointRecord {
+  /** Moving share of failed starts. */
+  failureShare: number
+  samples: number
+  /** Run time against the service's mean; 1 is usual. */
+  slowness: number
+  state: HealthState
+  asideUntil: number
+  timesAside: number
+  /** Starts in flight since it is being probed. */
+  probes: number
+}
+
+const FAILURE_WEIGHT = 0.2
+const SLOWNESS_WEIGHT = 0.05
+const MIN_SAMPLES = 3
+const BAD_SHARE = 0.45
+/** How many times the failures of its peers an endpoint must show, so that a bad job does not condemn any. */
+const PEER_FACTOR = 2
+
+const newRecord = (): EndpointRecord => ({
+  failureShare: 0,
+  samples: 0,
+  slowness: 1,
+  state: HEALTH_STATES.healthy,
+  asideUntil: 0,
+  timesAside: 0,
+  probes: 0
+})
+
+/**
+ * Sets endpoints of one service aside that fail far beyond their peers, and
+ * tries them again one start at a time.
+ */
+export class EndpointHealth {
+  private readonly records = new Map<string, EndpointRecord>()
+  private meanRunMs = 0
+
+  constructor (private readonly options: EndpointHealthOptions) {}
+
+  /** An endpoint joined, with a clean record. */
+  add (id: string): void {
+    this.records.set(id, newRecord())
+  }
+
+  /** An endpoint left. */
+  remove (id: string): void {
+    this.records.delete(id)
+  }
+
+  /** Mean run time of the service's tasks in ms, 0 while unknown. */
+  get meanMs (): number {
+    return this.meanRunMs
+  }
+
+  /** Run time at this endpoint against the service's mean. */
+  slownessOf (id: string): number {
+    return this.records.get(id)?.slowness ?? 1
+  }
+
+  /** How the endpoint counts now. */
+  stateOf (id: string): HealthState {
+    return this.records.get(id)?.state ?? HEALTH_STATES.healthy
+  }
+
+  /** True if a start may be sent there. */
+  maySend (id: string): boolean {
+    const record = this.records.get(id)
+    if (record === undefined || record.state === HEALTH_STATES.healthy) return true
+    if (record.state === HEALTH_STATES.setAside && this.options.now() >= record.asideUntil) {
+      record.state = HEALTH_STATES.probing
+      record.probes = 0
+    }
+    return record.state === HEALTH_STATES.probing && record.probes === 0
+  }
+
+  /** A start was sent. */
+  sent (id: string): void {
+    const record = this.records.get(id)
+    if (record?.state === HEALTH_STATES.probing) record.probes++
+  }
+
+  /** A start came to nothing that tells about the endpoint. */
+  unsent (id: string): void {
+    const record = this.records.get(id)
+    if (record !== undefined && record.probes > 0) record.probes--
+  }
+
+  /** A task was answered. */
+  succeeded (id: string, runMs: number): void {
+    this.meanRunMs = this.meanRunMs === 0 ? runMs : this.meanRunMs + SLOWNESS_WEIGHT * (runMs - this.meanRunMs)
+    const record = this.records.get(id)
+    if (record === undefined) return
+    const ratio = this.meanRunMs === 0 ? 1 : runMs / this.meanRunMs
+    record.slowness += SLOWNESS_WEIGHT * (ratio - record.slowness)
+    this.count(record, 0)
+    if (record.state === HEALTH_STATES.probing) this.restore(record)
+  }
+
+  /** An attempt failed, or could not begin, at this endpoint. */
+  failed (id: string): void {
+    const record = this.records.get(id)
+    if (record === undefined) return
+    this.count(record, 1)
+    const isSuspect = record.state === HEALTH_STATES.probing || this.isFarWorse(record)
+    if (isSuspect && record.state !== HEALTH_STATES.setAside && this.mayAside(record)) this.setAside(record)
+    else if (record.state === HEALTH_STATES.probing) this.restore(record)
+  }
+
+  private count (record: EndpointRecord, failure: 0 | 1): void {
+    record.samples++
+    record.failureShare += FAILURE_WEIGHT * (failure - record.failureShare)
+  }
+
+  private isFarWorse (record: EndpointRecord): boolean {
+    if (record.samples < MIN_SAMPLES || record.failureShare < BAD_SHARE) return false
+    const peers = [...this.records.values()].filter((peer) =>
+      peer !== record && peer.state === HEALTH_STATES.healthy)
+    if (peers.length === 0) return false
+    const peerShare = peers.reduce((sum, peer) => sum + peer.failureShare, 0) / peers.length
+    return record.failureShare > PEER_FACTOR * peerShare
+  }
+
+  private mayAside (record: EndpointRecord): boolean {
+    const records = [...this.records.values()]
+    const others = records.filter((other) => other !== record && other.state !== HEALTH_STATES.healthy)
+    return others.length + 1 <= records.length * this.options.maxShare
+  }
+
+  private setAside (record: EndpointRecord): void {
+    record.timesAside++
+    record.state = HEALTH_STATES.setAside
+    record.asideUntil = this.options.now() + this.options.backoff(record.timesAside)
+  }
+
+  private restore (record: EndpointRecord): void {
+    Object.assign(record, newRecord(), { slowness: record.slowness })
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/jobs/answerWindow.ts
@@ -0,0 +1,62 @@
+import type { JobAnswer } from '@hazellift/protocol'
+
+/** A finished job as it is remembered. */
+export interface RememberedAnswer {
+  answer: JobAnswer
+  bodyHash: Uint8Array
+  nonce: string
+}
+
+interface StoredAnswer extends RememberedAnswer {
+  at: number
+  bytes: number
+}
+
+/** Bounds of the window. */
+export interface AnswerWindowOptions {
+  now: () => number
+  maxMs: number
+  maxBytes: number
+}
+
+/** Cost of an entry beside its results, about. */
+const BASE_BYTES = 512
+
+const sizeOf = ({ results }: JobAnswer): number =>
+  results.reduce((sum, result) => sum + result.length, BASE_BYTES)
+
+/** Final answers of the last while, bounded in time and bytes; the oldest go first. */
+export class AnswerWindow {
+  private readonly answers = new Map<string, StoredAnswer>()
+  private bytes = 0
+
+  constructor (private readonly options: AnswerWindowOptions) {}
+
+  /** Remembers an answer. */
+  add (key: string, remembered: RememberedAnswer): void {
+    this.delete(key)
+    const bytes = sizeOf(remembered.answer)
+    this.answers.set(key, { ...remembered, at: this.options.now(), bytes })
+    this.bytes += bytes
+    this.trim()
+  }
+
+  /** The answer of a job, if it is remembered. */
+  find (key: string): RememberedAnswer | undefined {
+    return this.answers.get(key)
+  }
+
+  /** Forgets what is too old or too much. */
+  trim (): void {
+    const oldest = this.options.now() - this.options.maxMs
+    for (const [key, { at }] of this.answers) {
+      if (at >= oldest && this.bytes <= this.options.maxBytes) return
+      this.delete(key)
+    }
+  }
+
+  private delete (key: string): void {
+    this.bytes -= this.answers.get(key)?.bytes ?? 0
+    this.answers.delete(key)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -0,0 +1,349 @@
+import type { Clock } from '@hazellift/common'
+import { PEER_ANSWERS, REASONS, RUN_STATES } from '@hazellift/protocol'
+import type { JobSpec, PeerAnswer } from '@hazellift/protocol'
+import type { Claim } from '../claims/claimRows.js'
+import type { ClaimStore } from '../claims/claimStore.js'
+import type { WorkspaceConfig } from '../config/configWatch.js'
+import type { EntryDirectory } from '../entries/entryDirectory.js'
+import type { PolicyDecision } from '../policy/types.js'
+import { submissionKey } from '../tasks/keys.js'
+import type { Admission } from './admission.js'
+import { Attachment } from './attachment.js'
+import { bodyHash, isSameBody } from './bodyHash.js'
+import { createCollectedJob, createJob } from './job.js'
+import type { Job } from './job.js'
+import { OutageLookup } from './outageLookup.js'
+import type { JobNews, OwnedJobs } from './ownedJobs.js'
+import type { PeerCalls, PeerQuery } from './peerCalls.js'
+import { refuse, refuseConflict } from './replies.js'
+import type { JobReply, Refusal } from './replies.js'
+
+/** What the service needs. */
+export interface JobServiceOptions {
+  clock: Clock
+  claims: ClaimStore
+  owned: OwnedJobs
+  admission: Admission
+  directory: EntryDirectory
+  peers: PeerCalls
+  entryId: string
+  incarnation: string
+  claimTimeoutMs: number
+  defaultDeadlineMs: number
+  leaseMs: number
+  staleAfterMs: number
+  answerWindowMs: number
+  /** Told how each claim ended: owned, existing, unavailable, taken_over. */
+  observeClaim: (outcome: string) => void
+  /** False while the table is known to be away. */
+  isStoreUp: () => boolean
+}
+
+/** A peer's question answered from memory. */
+export interface LocalFinding {
+  kind: PeerAnswer
+  answer?: Extract<JobNews, { type: 'answer' }>['answer']
+  bodyHash: Uint8Array
+}
+
+const STORE_RETRY_MS = 1000
+const UNSAVED_RETRY_MS = 1000
+const TAKEOVER_DEADLINE_MS = 60_000
+const NO_HASH = new Uint8Array()
+
+const unsavedReply: JobReply = refuse(REASONS.answerUnsaved,
+  'the job is over, but its final state is not saved yet; ask again', RUN_STATES.mayHaveRun, UNSAVED_RETRY_MS)
+
+/**
+ * Submissions, questions and cancellations of jobs, wherever their owner is.
+ */
+export class JobService {
+  private readonly attachment: Attachment
+  private readonly outage: OutageLookup
+  /** Submissions whose claim is being written here. */
+  private readonly claiming = new Map<string, Promise<unknown>>()
+  /** Nonces given up before anything was started; nothing ever will be under them. */
+  private readonly released = new Set<string>()
+  private stopping = false
+
+  constructor (private readonly options: JobServiceOptions) {
+    this.attachment = new Attachment({ ...options, ownAnswer: (claim) => this.ownAnswer(claim) })
+    this.outage = new OutageLookup({ ...options, memoryMs: options.answerWindowMs })
+  }
+
+  /** Claims being written and jobs not over. */
+  get size (): number {
+    return this.claiming.size + this.options.owned.size
+  }
+
+  /** Refuses new submissions from now on. */
+  stop (): void {
+    this.stopping = true
+  }
+
+  /**
+   * Submits a job, or attaches to it if it was submitted before.
+   *
+   * @param waitMs - how long to wait for the answer
+   */
+  async submit (config: WorkspaceConfig, spec: JobSpec, waitMs: number): Promise<JobReply> {
+    const workspace = config.record.name
+    const key = submissionKey(workspace, spec.id)
+    const until = this.options.clock.now() + waitMs
+    await this.claiming.get(key)
+    const hash = bodyHash(spec)
+    const local = await this.fromMemory(key, hash, until)
+    if (local !== undefined) return local
+    const deadlineMs = spec.deadlineMs || this.options.defaultDeadlineMs
+    const admitted = this.admit(config, spec, deadlineMs)
+    if (admitted.type === 'refused') return this.refuseUnlessKnown(workspace, spec.id, hash, until, admitted)
+    const claiming = this.claimAndStart(workspace, spec, hash, deadlineMs, admitted.decision)
+    const outcome = await this.whileClaiming(key, claiming)
+    if (outcome.type === 'refused') return this.refuseUnlessKnown(workspace, spec.id, hash, until, outcome)
+    if (outcome.type === 'local') return this.waitLocal(key, hash, until)
+    return this.attach(outcome.claim, hash, until, { spec, decision: admitted.decision, deadlineMs })
+  }
+
+  /** Asks for a job that was submitted before. */
+  async ask (workspace: string, id: string, waitMs: number): Promise<JobReply> {
+    const key = submissionKey(workspace, id)
+    const until = this.options.clock.now() + waitMs
+    await this.claiming.get(key)
+    const local = await this.fromMemory(key, undefined, until)
+    if (local !== undefined) return local
+    const claim = await this.options.claims.read(workspace, id)
+    if (!claim.ok) return this.askDuringOutage(workspace, id, until)
+    if (claim.value === undefined) return refuse(REASONS.notFound, 'no such job', RUN_STATES.notRun)
+    return this.attach(claim.value, undefined, until)
+  }
+
+  /** Cancels a job. The reply is its final answer, which may be another one if it was over before. */
+  async cancel (workspace: string, id: string): Promise<JobReply> {
+    const key = submissionKey(workspace, id)
+    await this.claiming.get(key)
+    this.options.owned.failByKey(key, REASONS.cancelled, 'cancelled')
+    const until = this.options.clock.now() + this.options.claimTimeoutMs
+    const local = await this.fromMemory(key, undefined, until)
+    if (local !== undefined) return local
+    const claim = await this.options.claims.read(workspace, id)
+    if (!claim.ok) return refuse(REASONS.storeDown, claim.err.message, RUN_STATES.mayHaveRun, STORE_RETRY_MS)
+    if (claim.value === undefined) return refuse(REASONS.notFound, 'no such job', RUN_STATES.notRun)
+    await this.cancelAtOwner(claim.value)
+    return this.attach(claim.value, undefined, until)
+  }
+
+  /** Answers a peer from memory alone. */
+  async answerPeer (query: PeerQuery): Promise<LocalFinding> {
+    const key = submissionKey(query.workspace, query.submission)
+    await this.claiming.get(key)
+    const { owned } = this.options
+    const claim = owned.claimOf(key)
+    if (claim !== undefined && (query.nonce === '' || query.nonce === claim.record.nonce)) {
+      const news = await owned.wait(key, query.waitMs)
+      const { bodyHash } = claim.record
+      if (news.type === 'answer') return { kind: PEER_ANSWERS.final, answer: news.answer, bodyHash }
+      return { kind: PEER_ANSWERS.pending, bodyHash }
+    }
+    const remembered = owned.answerOf(key)
+    if (remembered !== undefined) return { kind: PEER_ANSWERS.final, ...remembered }
+    const kind = this.released.has(query.nonce) ? PEER_ANSWERS.released : PEER_ANSWERS.unknown
+    return { kind, bodyHash: NO_HASH }
+  }
+
+  /** Cancels for a peer. */
+  async cancelForPeer (query: PeerQuery): Promise<LocalFinding> {
+    const key = submissionKey(query.workspace, query.submission)
+    await this.claiming.get(key)
+    this.options.owned.failByKey(key, REASONS.cancelled, 'cancelled')
+    return this.answerPeer(query)
+  }
+
+  private admit (config: WorkspaceConfig, spec: JobSpec, deadlineMs: number): ReturnType<Admission['check']> {
+    if (this.stopping) return refuse(REASONS.stopping, 'this entry is stopping', RUN_STATES.notRun, STORE_RETRY_MS)
+    if (!this.options.isStoreUp()) return refuse(REASONS.storeDown, 'the table service does not answer', RUN_STATES.notRun, STORE_RETRY_MS)
+    return this.options.admission.check(config, spec, deadlineMs)
+  }
+
+  private async whileClaiming<T> (key: string, claiming: Promise<T>): Promise<T> {
+    this.claiming.set(key, claiming)
+    try {
+      return await claiming
+    } finally {
+      this.claiming.delete(key)
+    }
+  }
+
+  private async claimAndStart (workspace: string, spec: JobSpec, hash: Uint8Array, deadlineMs: number, decision: PolicyDecision): Promise<
+    { type: 'local' } | { type: 'existing', claim: Claim } | Refusal
+  > {
+    const { clock, claims, admission, claimTimeoutMs, observeClaim } = this.options
+    const arrivedAt = clock.now()
+    const release = admission.reserve(workspace, spec.tasks.length)
+    const outcome = await claims.claim({
+      workspace,
+      submission: spec.id,
+      bodyHash: hash,
+      service: spec.service,
+      taskCount: spec.tasks.length,
+      unrepeatable: spec.unrepeatable,
+      deadlineMs
+    }, arrivedAt + Math.min(claimTimeoutMs, deadlineMs))
+    release()
+    observeClaim(outcome.type)
+    if (outcome.type === 'existing') return outcome
+    if (outcome.type === 'unavailable') {
+      if (!outcome.certain) this.released.add(outcome.nonce)
+      return refuse(REASONS.storeDown, outcome.message, RUN_STATES.notRun, STORE_RETRY_MS)
+    }
+    this.options.owned.start(this.jobOf(workspace, spec, decision, arrivedAt, deadlineMs), outcome.claim)
+    return { type: 'local' }
+  }
+
+  private jobOf (workspace: string, spec: JobSpec, decision: PolicyDecision, arrivedAt: number, deadlineMs: number): Job {
+    const { id, service, unrepeatable } = spec
+    return createJob({
+      workspace,
+      id,
+      service,
+      payloads: spec.tasks.map(({ payload }) => payload),
+      unrepeatable,
+      priority: decision.priority,
+      retries: decision.retries,
+      leaseMs: this.options.leaseMs,
+      arrivedAt,
+      deadlineAt: arrivedAt + deadlineMs
+    })
+  }
+
+  /** The reply that this entry's memory gives, if it knows the job. */
+  private async fromMemory (key: string, hash: Uint8Array | undefined, until: number): Promise<JobReply | undefined> {
+    const known = this.options.owned.claimOf(key)?.record ?? this.options.owned.answerOf(key)
+    return known === undefined ? undefined : this.waitLocal(key, hash, until)
+  }
+
+  private async waitLocal (key: string, hash: Uint8Array | undefined, until: number): Promise<JobReply> {
+    const { owned, clock } = this.options
+    const bodyOf = owned.claimOf(key)?.record.bodyHash ?? owned.answerOf(key)?.bodyHash
+    if (hash !== undefined && bodyOf !== undefined && !isSameBody(bodyOf, hash)) return refuseConflict()
+    const remembered = owned.answerOf(key)
+    if (remembered !== undefined) return { type: 'answer', answer: remembered.answer }
+    const news = await owned.wait(key, Math.max(0, until - clock.now()))
+    switch (news.type) {
+      case 'answer': return news
+      case 'pending': return news
+      case 'unsaved': return unsavedReply
+      case 'moved': return this.followMoved(key, until)
+    }
+  }
+
+  private async followMoved (key: string, until: number): Promise<JobReply> {
+    const [workspace, id] = key.split('/') as [string, string]
+    const claim = await this.options.claims.read(workspace, id)
+    if (!claim.ok) return refuse(REASONS.storeDown, claim.err.message, RUN_STATES.mayHaveRun, STORE_RETRY_MS)
+    if (claim.value === undefined) return refuse(REASONS.notFound, 'the job has expired', RUN_STATES.mayHaveRun)
+    return this.attach(claim.value, undefined, until)
+  }
+
+  /** Follows a claim; takes it over where its owner is lost, or has released it. */
+  private async attach (claim: Claim, hash: Uint8Array | undefined, until: number, fresh?: FreshRun): Promise<JobReply> {
+    const step = await this.attachment.follow(claim, hash, until)
+    const key = submissionKey(claim.record.workspace, claim.record.submission)
+    switch (step.type) {
+      case 'reply': return step.reply
+      case 'local': return this.waitLocal(key, hash, until)
+      case 'absent': return refuse(REASONS.notFound, 'the job has expired', RUN_STATES.mayHaveRun)
+      case 'lost': return this.takeOver(step.claim, hash, until, undefined)
+      case 'released': return fresh === undefined
+        ? refuse(REASONS.storeDown, 'the submission was refused and not run; submit it again', RUN_STATES.notRun)
+        : this.takeOver(step.claim, hash, until, fresh)
+    }
+  }
+
+  private async takeOver (claim: Claim, hash: Uint8Array | undefined, until: number, fresh: FreshRun | undefined): Promise<JobReply> {
+    const { workspace, submission } = claim.record
+    const key = submissionKey(workspace, submission)
+    // Another request here may have begun the same takeover.
+    const running = this.claiming.get(key)
+    if (running !== undefined) {
+      await running
+      return this.waitLocal(key, hash, until)
+    }
+    const outcome = await this.whileClaiming(key, this.takeOverAndStart(claim, fresh))
+    if (outcome.type === 'refused') return outcome
+    if (outcome.type === 'local') return this.waitLocal(key, hash, until)
+    return this.attach(outcome.claim, hash, until, fresh)
+  }
+
+  private async takeOverAndStart (claim: Claim, fresh: FreshRun | undefined): Promise<
+    { type: 'local' } | { type: 'existing', claim: Claim } | Refusal
+  > {
+    const { clock, claims, owned, claimTimeoutMs, observeClaim } = this.options
+    const { workspace } = claim.record
+    const outcome = await claims.takeOver(claim, clock.now() + claimTimeoutMs)
+    if (outcome.type === 'existing') return outcome
+    if (outcome.type === 'unavailable') {
+      if (fresh !== undefined && !outcome.certain) this.released.add(outcome.nonce)
+      return refuse(REASONS.storeDown, outcome.message, fresh === undefined ? RUN_STATES.mayHaveRun : RUN_STATES.notRun, STORE_RETRY_MS)
+    }
+    observeClaim('taken_over')
+    if (fresh === undefined) owned.collect(this.collectedJobOf(outcome.claim), outcome.claim)
+    else owned.start(this.jobOf(workspace, fresh.spec, fresh.decision, clock.now(), fresh.deadlineMs), outcome.claim)
+    return { type: 'local' }
+  }
+
+  private collectedJobOf ({ record }: Claim): Job {
+    const { clock, leaseMs } = this.options
+    return createCollectedJob({
+      workspace: record.workspace,
+      id: record.submission,
+      service: record.service,
+      unrepeatable: record.unrepeatable,
+      priority: 0,
+      retries: 0,
+      leaseMs,
+      arrivedAt: clock.now(),
+      deadlineAt: clock.now() + TAKEOVER_DEADLINE_MS
+    }, record.taskCount)
+  }
+
+  /** A refusal may say "not run" only of a submission that nobody has claimed. */
+  private async refuseUnlessKnown (workspace: string, id: string, hash: Uint8Array, until: number, refusal: Refusal): Promise<JobReply> {
+    const claim = this.options.isStoreUp() ? await this.options.claims.read(workspace, id) : undefined
+    if (claim?.ok === true && claim.value !== undefined && !this.released.has(claim.value.record.nonce)) {
+      return this.attach(claim.value, hash, until)
+    }
+    if (claim?.ok === true) return refusal
+    const waitMs = Math.max(0, until - this.options.clock.now())
+    const finding = await this.outage.find(workspace, id, hash, waitMs)
+    return finding.type === 'reply' ? finding.reply : { ...refusal, run: finding.run }
+  }
+
+  private async askDuringOutage (workspace: string, id: string, until: number): Promise<JobReply> {
+    const waitMs = Math.max(0, until - this.options.clock.now())
+    const finding = await this.outage.find(workspace, id, undefined, waitMs)
+    if (finding.type === 'reply') return finding.reply
+    return refuse(REASONS.storeDown, 'the table service does not answer', finding.run, STORE_RETRY_MS)
+  }
+
+  private async cancelAtOwner ({ record }: Claim): Promise<void> {
+    const owner = this.options.directory.find(record.ownerEntry, record.ownerIncarnation)
+    if (owner === undefined) return
+    const { workspace, submission, nonce } = record
+    await this.options.peers.cancel(owner.sessionAddress, { workspace, submission, nonce, waitMs: this.options.claimTimeoutMs })
+  }
+
+  private ownAnswer (claim: Claim): 'local' | 'released' | 'lost' {
+    const { workspace, submission, nonce } = claim.record
+    const key = submissionKey(workspace, submission)
+    const isLocal = this.options.owned.claimOf(key) !== undefined || this.options.owned.answerOf(key) !== undefined
+    if (isLocal) return 'local'
+    return this.released.has(nonce) ? 'released' : 'lost'
+  }
+}
+
+/** A run of a submission that nothing was started of. */
+interface FreshRun {
+  spec: JobSpec
+  decision: PolicyDecision
+  deadlineMs: number
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -0,0 +1,326 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock } from '@hazellift/common'
+import { CollectedSchema, EndpointStateSchema, REASONS, ResumeSchema, TASK_OUTCOMES, TaskResultSchema } from '@hazellift/protocol'
+import type { AgentFrame, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
+import { SlotGranter } from '../slots/slotGranter.js'
+import { TaskLedger } from './taskLedger.js'
+import type { TaskEntry } from './taskLedger.js'
+
+/** How one attempt at the endpoint ended. */
+export interface AttemptEnd {
+  outcome: TaskOutcome
+  reason: Reason | ''
+  body: string
+}
+
+/** Calls the endpoint; must settle soon after `signal` aborts. */
+export type RunAttempt = (start: Start, endpoint: EndpointState, signal: AbortSignal) => Promise<AttemptEnd>
+
+/** Adds to the next frame to one entry. */
+export type AddToFrame = (add: (frame: AgentFrame) => void) => void
+
+/** Bounds of an agent's work. */
+export interface TaskHostOptions {
+  clock: Clock
+  runAttempt: RunAttempt
+  standingCredits: number
+  extraCredits: number
+  /** Starts accepted without a credit; they wait for a slot. */
+  overflowQueue: number
+  /** Oldest stamp with which a start is accepted, in ms. */
+  startAgeMs: number
+  /** How long ended tasks and revokes are remembered, in ms. */
+  memoryMs: number
+  /** Told of every ended start. */
+  observe?: (result: TaskResult) => void
+}
+
+interface HostSession {
+  add: AddToFrame
+}
+
+/** Results for one incarnation of an entry; outlives its sessions. */
+interface Mailbox {
+  lastSeq: bigint
+  unacked: TaskResult[]
+  touchedAt: number
+}
+
+interface WaitingStart {
+  entry: TaskEntry
+  start: Start
+  owner: string
+}
+
+const NO_ENDPOINT = create(EndpointStateSchema)
+
+/**
+ * An agent's side of all its sessions: accepts starts against credits, runs
+ * them, and keeps results until they are acknowledged.
+ */
+export class TaskHost {
+  private readonly ledger: TaskLedger
+  private readonly granter: SlotGranter
+  private readonly sessions = new Map<string, HostSession>()
+  private readonly mailboxes = new Map<string, Mailbox>()
+  private readonly waiting: WaitingStart[] = []
+  private endpoint = NO_ENDPOINT
+  private running = 0
+  private leaving = false
+
+  constructor (private readonly options: TaskHostOptions) {
+    const { clock, memoryMs, standingCredits, extraCredits } = options
+    this.ledger = new TaskLedger(memoryMs, clock.now)
+    this.granter = new SlotGranter(standingCredits, extraCredits)
+  }
+
+  /** Tasks that run or wait here. */
+  get busy (): number {
+    return this.running + this.waiting.length
+  }
+
+  /** Results that no entry has acknowledged yet. */
+  get unacked (): number {
+    let count = 0
+    for (const { unacked } of this.mailboxes.values()) count += unacked.length
+    return count
+  }
+
+  /**
+   * A session with an entry's incarnation is open. An earlier one with the
+   * same incarnation has been closed: nothing it may still carry is accepted.
+   */
+  openSession (incarnation: string, add: AddToFrame): void {
+    this.sessions.set(incarnation, { add })
+    this.granter.addEntry(incarnation)
+    const unacked = this.mailbox(incarnation).unacked
+    const started = this.ledger.heldFor(incarnation)
+    const held = [...started.filter(({ result }) => result === undefined), ...unacked].map(({ key }) => key!)
+    add((frame) => {
+      frame.resume = create(ResumeSchema, { held })
+      frame.endpoint = this.endpoint
+      frame.leaving = this.leaving
+    })
+    for (const result of unacked) this.addResult(incarnation, result)
+    for (const entry of started) if (entry.recipient !== incarnation) this.tellTakenOver(incarnation, entry.key)
+    this.grant()
+  }
+
+  /** The session ended; its credits are void. Running tasks run on. */
+  closeSession (incarnation: string, add: AddToFrame): void {
+    if (this.sessions.get(incarnation)?.add !== add) return
+    this.sessions.delete(incarnation)
+    this.granter.removeEntry(incarnation)
+    this.grant()
+  }
+
+  /** Handles what an entry sent on an open session. */
+  onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
+    // A frame of a closed session may hold starts that its entry has sent elsewhere since.
+    if (this.sessions.get(incarnation)?.add !== add) return
+    this.acknowledge(incarnation, frame.ackedSeq)
+    if (frame.returnedCredits > 0) this.granter.returned(incarnation, frame.returnedCredits)
+    for (const start of frame.starts) this.onStart(incarnation, start)
+    for (const { workspace, submission, tasks } of frame.revokes) this.onRevoke(incarnation, workspace, submission, tasks)
+    for (const { workspace, submission } of frame.collects) this.onCollect(incarnation, workspace, submission)
+    if (frame.demand !== undefined) this.granter.setDemand(incarnation, frame.demand)
+    this.grant()
+  }
+
+  /** The endpoint announced itself, changed or left (no service). */
+  setEndpoint (endpoint: EndpointState | undefined): void {
+    this.endpoint = endpoint ?? NO_ENDPOINT
+    this.granter.setSlots(this.leaving ? 0 : this.endpoint.slots)
+    for (const { add } of this.sessions.values()) {
+      add((frame) => {
+        frame.endpoint = this.endpoint
+        frame.credits = 0
+      })
+    }
+    if (this.endpoint.service === '') this.refuseWaiting()
+    this.grant()
+  }
+
+  /** Takes no new work from now on; what runs is finished. */
+  leave (): void {
+    this.leaving = true
+    this.granter.setSlots(0)
+    for (const { add } of this.sessions.values()) {
+      add((frame) => {
+        frame.leaving = true
+        frame.credits = 0
+      })
+    }
+    this.refuseWaiting()
+  }
+
+  /** Aborts what still runs, for a stop whose grace time is over. */
+  abortAll (): TaskKey[] {
+    const running = this.ledger.entries().filter(({ abort }) => abort !== undefined)
+    for (const { abort } of running) abort?.(REASONS.stopCut)
+    return running.map(({ key }) => key)
+  }
+
+  /** A frame on every session, so that entries see this agent and a fresh stamp. */
+  keepAlive (): void {
+    for (const { add } of this.sessions.values()) add(() => {})
+  }
+
+  /** Forgets what is old enough. */
+  sweep (): void {
+    this.ledger.sweep()
+    const oldest = this.options.clock.now() - this.options.memoryMs
+    for (const [incarnation, box] of this.mailboxes) {
+      if (!this.sessions.has(incarnation) && box.touchedAt < oldest) this.mailboxes.delete(incarnation)
+    }
+  }
+
+  /** Fills in what every frame carries. */
+  stamp (frame: AgentFrame): void {
+    frame.stampMs = this.options.clock.now()
+    frame.free = this.granter.free
+  }
+
+  private onStart (incarnation: string, start: Start): void {
+    const key = start.key!
+    const known = this.ledger.find(key)
+    if (known !== undefined) return this.onDuplicate(incarnation, known)
+    const refusal = this.refusalOf(key, start)
+    if (refusal !== undefined) {
+      // A refused start used its credit all the same.
+      if (this.granter.accept(incarnation)) this.granter.release(incarnation)
+      return this.refuseStart(incarnation, key, refusal)
+    }
+    if (!this.granter.accept(incarnation)) {
+      if (this.waiting.length >= this.options.overflowQueue) return this.refuseStart(incarnation, key, REASONS.noSlot)
+      this.granter.acceptOverflow(incarnation)
+    }
+    const entry: TaskEntry = { key, origin: incarnation, recipient: incarnation }
+    this.ledger.add(entry)
+    this.waiting.push({ entry, start, owner: incarnation })
+    this.runWaiting()
+  }
+
+  private refusalOf (key: TaskKey, start: Start): Reason | undefined {
+    const collector = this.ledger.collectorOf(key.workspace, key.submission)
+    if (collector !== undefined) return REASONS.takenOver
+    if (this.ledger.isRevoked(key)) return REASONS.revoked
+    if (this.options.clock.now() - start.stampMs > this.options.startAgeMs) return REASONS.staleStart
+    if (this.leaving || this.endpoint.service === '') return REASONS.endpointGone
+    return undefined
+  }
+
+  private onDuplicate (incarnation: string, known: TaskEntry): void {
+    if (known.recipient !== incarnation) return this.tellTakenOver(incarnation, known.key)
+    if (known.result !== undefined) this.deliver(incarnation, { ...known.result })
+  }
+
+  private refuseStart (incarnation: string, key: TaskKey, reason: Reason): void {
+    this.deliver(incarnation, create(TaskResultSchema, { key, outcome: TASK_OUTCOMES.notStarted, reason }))
+  }
+
+  private tellTakenOver (incarnation: string, key: TaskKey): void {
+    this.deliver(incarnation, create(TaskResultSchema, {
+      key, outcome: TASK_OUTCOMES.failed, reason: REASONS.takenOver
+    }))
+  }
+
+  private runWaiting (): void {
+    // Extra credits and overflow wait here; never more than the slots run at once.
+    while (this.waiting.length > 0 && this.running < this.endpoint.slots) void this.run(this.waiting.shift()!)
+  }
+
+  private async run ({ entry, start, owner }: WaitingStart): Promise<void> {
+    const { clock, runAttempt } = this.options
+    const controller = new AbortController()
+    let cutBy: string | undefined
+    entry.abort = (reason) => {
+      cutBy ??= reason
+      controller.abort()
+    }
+    const cancelLease = clock.after(start.leaseMs, () => entry.abort?.(REASONS.leaseExpired))
+    this.running++
+    const startedAt = clock.now()
+    const end = await runAttempt(start, this.endpoint, controller.signal)
+    cancelLease()
+    this.running--
+    const isCut = cutBy !== undefined && end.outcome === TASK_OUTCOMES.failed
+    const runMs = Math.round(clock.now() - startedAt)
+    this.end(entry, owner, { ...end, reason: isCut ? cutBy as Reason : end.reason }, runMs)
+  }
+
+  private end (entry: TaskEntry, owner: string, end: AttemptEnd, runMs: number): void {
+    const result = create(TaskResultSchema, { key: entry.key, ...end, runMs })
+    this.granter.release(owner)
+    this.options.observe?.(result)
+    // A start that did not happen must not stand in the way of one that the entry may send again.
+    if (end.outcome === TASK_OUTCOMES.notStarted) this.ledger.remove(entry.key)
+    else this.ledger.finish(entry, result)
+    this.deliver(entry.recipient, result)
+    this.runWaiting()
+    this.grant()
+  }
+
+  private onRevoke (incarnation: string, workspace: string, submission: string, tasks: number[]): void {
+    // An owner that lost its claim must not end what the new owner waits for.
+    const collector = this.ledger.collectorOf(workspace, submission)
+    if (collector !== undefined && collector !== incarnation) return
+    const started = this.ledger.revoke(workspace, submission, tasks)
+    this.refuseWaitingOf(new Set(started))
+    for (const { abort } of started) abort?.(REASONS.revoked)
+  }
+
+  private onCollect (incarnation: string, workspace: string, submission: string): void {
+    const before = this.ledger.revoke(workspace, submission, [])
+    this.refuseWaitingOf(new Set(before))
+    const started = this.ledger.collect(workspace, submission, incarnation)
+    for (const { origin, key } of started) if (origin !== incarnation) this.tellTakenOver(origin, key)
+    for (const { result } of started) if (result !== undefined) this.deliver(incarnation, { ...result })
+    const running = started.filter(({ result }) => result === undefined).map(({ key }) => key.task)
+    this.sessions.get(incarnation)?.add((frame) => {
+      frame.collected.push(create(CollectedSchema, { workspace, submission, running }))
+    })
+  }
+
+  private refuseWaiting (): void {
+    this.refuseWaitingOf(new Set(this.waiting.map(({ entry }) => entry)), REASONS.endpointGone)
+  }
+
+  private refuseWaitingOf (entries: Set<TaskEntry>, reason: Reason = REASONS.revoked): void {
+    const refused = this.waiting.filter(({ entry }) => entries.has(entry))
+    for (const waiting of refused) {
+      this.waiting.splice(this.waiting.indexOf(waiting), 1)
+      this.end(waiting.entry, waiting.owner, { outcome: TASK_OUTCOMES.notStarted, reason, body: '' }, 0)
+    }
+  }
+
+  private mailbox (incarnation: string): Mailbox {
+    const box = this.mailboxes.get(incarnation) ?? { lastSeq: 0n, unacked: [], touchedAt: 0 }
+    box.touchedAt = this.options.clock.now()
+    this.mailboxes.set(incarnation, box)
+    return box
+  }
+
+  private deliver (incarnation: string, result: TaskResult): void {
+    const box = this.mailbox(incarnation)
+    result.seq = ++box.lastSeq
+    box.unacked.push(result)
+    this.addResult(incarnation, result)
+  }
+
+  private addResult (incarnation: string, result: TaskResult): void {
+    this.sessions.get(incarnation)?.add((frame) => { frame.results.push(result) })
+  }
+
+  private acknowledge (incarnation: string, seq: bigint): void {
+    const box = this.mailboxes.get(incarnation)
+    if (box === undefined) return
+    while (box.unacked.length > 0 && box.unacked[0]!.seq <= seq) box.unacked.shift()
+  }
+
+  private grant (): void {
+    const { grants, recalls } = this.granter.plan()
+    for (const { entry, credits } of grants) this.sessions.get(entry)?.add((frame) => { frame.credits += credits })
+    for (const { entry, credits } of recalls) this.sessions.get(entry)?.add((frame) => { frame.recall += credits })
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/tasks/taskLedger.ts
@@ -0,0 +1,139 @@
+import type { TaskKey, TaskResult } from '@hazellift/protocol'
+import { submissionKey } from './keys.js'
+
+/** What an agent remembers of one start. */
+export interface TaskEntry {
+  key: TaskKey
+  /** Incarnation of the entry that sent the start. */
+  origin: string
+  /** Incarnation of the entry that gets the result: the origin, or who took the claim over. */
+  recipient: string
+  /** Set once the start ended. */
+  result?: TaskResult
+  /** Ends the attempt; unset once it ended. */
+  abort?: (reason: string) => void
+}
+
+interface SubmissionEntry {
+  workspace: string
+  submission: string
+  tasks: Map<number, TaskEntry>
+  /** Tasks that must never start, or all of them. */
+  revokedTasks: Set<number>
+  revoked: boolean
+  /** Who took the claim over, if anybody did. */
+  collector: string | undefined
+  touchedAt: number
+}
+
+/**
+ * An agent's memory of what it started and what it must not start.
+ *
+ * Invariant: an entry is kept for `memoryMs` after it was last touched, and
+ * `memoryMs` exceeds the oldest stamp with which a start is accepted. So a
+ * start that arrives after its revoke was forgotten is refused by its stamp.
+ */
+export class TaskLedger {
+  private readonly submissions = new Map<string, SubmissionEntry>()
+
+  constructor (private readonly memoryMs: number, private readonly now: () => number) {}
+
+  /** The entry of a task that was started, if it is remembered. */
+  find ({ workspace, submission, task }: TaskKey): TaskEntry | undefined {
+    return this.submissions.get(submissionKey(workspace, submission))?.tasks.get(task)
+  }
+
+  /** True if the task must not start. */
+  isRevoked ({ workspace, submission, task }: TaskKey): boolean {
+    const entry = this.submissions.get(submissionKey(workspace, submission))
+    return entry !== undefined && (entry.revoked || entry.revokedTasks.has(task))
+  }
+
+  /** Who took the submission over, if anybody did. */
+  collectorOf (workspace: string, submission: string): string | undefined {
+    return this.submissions.get(submissionKey(workspace, submission))?.collector
+  }
+
+  /** Remembers a start. The caller has checked `find` and `isRevoked`. */
+  add (entry: TaskEntry): void {
+    this.touch(entry.key.workspace, entry.key.submission).tasks.set(entry.key.task, entry)
+  }
+
+  /** Forgets a start that is proved not to have reached the endpoint. */
+  remove ({ workspace, submission, task }: TaskKey): void {
+    this.submissions.get(submissionKey(workspace, submission))?.tasks.delete(task)
+  }
+
+  /** Remembers the end of a start. */
+  finish (entry: TaskEntry, result: TaskResult): void {
+    entry.result = result
+    delete entry.abort
+    this.touch(entry.key.workspace, entry.key.submission)
+  }
+
+  /**
+   * Forbids starts.
+   *
+   * @param tasks - the tasks, or none for the whole submission
+   * @returns those of them that were started before
+   */
+  revoke (workspace: string, submission: string, tasks: number[]): TaskEntry[] {
+    const entry = this.touch(workspace, submission)
+    if (tasks.length === 0) entry.revoked = true
+    for (const task of tasks) entry.revokedTasks.add(task)
+    const started = [...entry.tasks.values()]
+    return tasks.length === 0 ? started : started.filter(({ key }) => tasks.includes(key.task))
+  }
+
+  /**
+   * Forbids starts of a submission and sends its results to another entry.
+   *
+   * @returns everything that was started before
+   */
+  collect (workspace: string, submission: string, collector: string): TaskEntry[] {
+    const started = this.revoke(workspace, submission, [])
+    this.touch(workspace, submission).collector = collector
+    for (const entry of started) entry.recipient = collector
+    return started
+  }
+
+  /** Every remembered start that an incarnation of an entry sent or took over. */
+  heldFor (incarnation: string): TaskEntry[] {
+    return this.entries().filter(({ origin, recipient }) => origin === incarnation || recipient === incarnation)
+  }
+
+  /** Every remembered start. */
+  entries (): TaskEntry[] {
+    return [...this.submissions.values()].flatMap(({ tasks }) => [...tasks.values()])
+  }
+
+  /** Forgets what was untouched for the memory's length and is over. */
+  sweep (): void {
+    const oldest = this.now() - this.memoryMs
+    for (const [key, entry] of this.submissions) {
+      const isOver = [...entry.tasks.values()].every(({ result }) => result !== undefined)
+      if (isOver && entry.touchedAt < oldest) this.submissions.delete(key)
+    }
+  }
+
+  /** Submissions remembered. */
+  get size (): number {
+    return this.submissions.size
+  }
+
+  private touch (workspace: string, submission: string): SubmissionEntry {
+    const key = submissionKey(workspace, submission)
+    const entry = this.submissions.get(key) ?? {
+      workspace,
+      submission,
+      tasks: new Map(),
+      revokedTasks: new Set(),
+      revoked: false,
+      collector: undefined,
+      touchedAt: 0
+    }
+    entry.touchedAt = this.now()
+    this.submissions.set(key, entry)
+    return entry
+  }
+}
--- /dev/null
+++ b/packages/entry/src/cli/configCommands.ts
@@ -0,0 +1,153 @@
+import { create } from '@bufbuild/protobuf'
+import type { DescMessage, MessageShape } from '@bufbuild/protobuf'
+import { EXIT_CODES, errorMessage } from '@hazellift/common'
+import type { Result } from '@hazellift/common'
+import { compilePolicy } from '@hazellift/coordination'
+import {
+  ChangeListSchema, ConfigAcceptedSchema, JobSpecSchema, PolicyRecordSchema, PolicySpecSchema, WorkspaceListSchema,
+  WorkspaceSpecSchema, WorkspaceViewSchema
+} from '@hazellift/protocol'
+import type { ConfigAccepted, JobSpec, PolicySpec } from '@hazellift/protocol'
+import { Command } from 'commander'
+import { ulid } from 'ulid'
+import type { ApiClient, ApiFault } from './apiClient.js'
+import { toBody } from './apiClient.js'
+import { clientCommand, clientOf, workspaceOption } from './globalOptions.js'
+import type { GlobalOptions } from './globalOptions.js'
+import { print, printFailure, printFault, printJson, printTable } from './output.js'
+import { readDocument } from './readDocument.js'
+
+interface PutOptions extends GlobalOptions {
+  workspace: string
+  file: string
+  seenVersion?: string
+  wait: boolean
+}
+
+interface Named extends GlobalOptions {
+  workspace: string
+}
+
+const WAIT_MS = 14_000
+
+const printAccepted = ({ version, inForce, pending }: ConfigAccepted, options: PutOptions): void => {
+  print(`version ${version} accepted, in force at ${inForce.join(', ') || 'no entry yet'}`)
+  if (options.wait && pending.length > 0) printFailure(`not confirmed by ${pending.join(', ')}`, EXIT_CODES.failed)
+}
+
+/** Sends a change, made from the version given or else from the one in force now. */
+const put = async <Desc extends DescMessage>(
+  options: PutOptions, path: string, schema: Desc, spec: MessageShape<Desc> & { seenVersion: bigint, operationId: string },
+  currentVersion: (client: ApiClient) => Promise<bigint>
+): Promise<void> => {
+  const client = clientOf(options)
+  spec.seenVersion = options.seenVersion === undefined ? await currentVersion(client) : BigInt(options.seenVersion)
+  spec.operationId ||= ulid()
+  const waitMs = options.wait ? WAIT_MS : 0
+  const res = await client.call(ConfigAcceptedSchema, {
+    method: 'PUT', path: `${path}?waitMs=${waitMs}`, body: toBody(schema, spec), timeoutMs: waitMs + WAIT_MS
+  })
+  if (!res.ok) return printFault(res.err)
+  if (options.json) return printJson(ConfigAcceptedSchema, res.value)
+  printAccepted(res.value, options)
+}
+
+const putPolicy = async (options: PutOptions): Promise<void> => {
+  const spec = readDocument(PolicySpecSchema, options.file)
+  if (!spec.ok) return printFailure(spec.err, EXIT_CODES.usage)
+  const path = `/v1/workspaces/${options.workspace}/policy`
+  await put(options, path, PolicySpecSchema, spec.value, async (client) => {
+    const res = await client.call(PolicyRecordSchema, { method: 'GET', path })
+    return res.ok ? res.value.version : 0n
+  })
+}
+
+const putWorkspace = async (options: PutOptions): Promise<void> => {
+  const spec = readDocument(WorkspaceSpecSchema, options.file)
+  if (!spec.ok) return printFailure(spec.err, EXIT_CODES.usage)
+  const path = `/v1/workspaces/${options.workspace}`
+  await put(options, path, WorkspaceSpecSchema, spec.value, async (client) => {
+    const res = await client.call(WorkspaceViewSchema, { method: 'GET', path })
+    return res.ok ? res.value.version : 0n
+  })
+}
+
+const show = <Desc extends DescMessage>(schema: Desc, res: Result<MessageShape<Desc>, ApiFault>): void => {
+  if (res.ok) printJson(schema, res.value)
+  else printFault(res.err)
+}
+
+const listWorkspaces = async (options: GlobalOptions): Promise<void> => {
+  const res = await clientOf(options).call(WorkspaceListSchema, { method: 'GET', path: '/v1/workspaces' })
+  if (!res.ok || options.json) return show(WorkspaceListSchema, res)
+  printTable(['workspace', 'version', 'weight', 'running', 'queued', 'tasks/s'], res.value.workspaces.map(
+    ({ name, version, weight, maxRunning, maxQueued, maxRate }) => [name, version, weight || 1, maxRunning, maxQueued, maxRate]))
+}
+
+const showHistory = async (options: Named): Promise<void> => {
+  const path = `/v1/workspaces/${options.workspace}/history`
+  const res = await clientOf(options).call(ChangeListSchema, { method: 'GET', path })
+  if (!res.ok || options.json) return show(ChangeListSchema, res)
+  printTable(['version', 'when', 'kind', 'operation'], res.value.changes.map(
+    ({ version, atMs, kind, operationId }) => [version, new Date(atMs).toISOString(), kind, operationId]))
+}
+
+const sampleJob = (file: string | undefined): Result<JobSpec, string> => {
+  if (file !== undefined) return readDocument(JobSpecSchema, file)
+  return { ok: true, value: create(JobSpecSchema, { id: 'sample', service: 'sample', tasks: [{ payload: '' }] }) }
+}
+
+const checkAgainst = (spec: PolicySpec, job: JobSpec): void => {
+  const compiled = compilePolicy(spec)
+  if (!compiled.ok) {
+    for (const { field, line, column, message } of compiled.err) printFailure(`${field}:${line}:${column}: ${message}`, EXIT_CODES.failed)
+    return
+  }
+  const { id, service, tasks, unrepeatable, deadlineMs, labels } = job
+  const payloadBytes = tasks.reduce((sum, { payload }) => sum + payload.length, 0)
+  try {
+    const facts = { id, service, tasks: tasks.length, payloadBytes, unrepeatable, deadlineMs, labels }
+    print(JSON.stringify(compiled.value.evaluate(facts, { running: 0, queued: 0 }), null, 2))
+  } catch (err) {
+    printFailure(errorMessage(err), EXIT_CODES.failed)
+  }
+}
+
+const checkPolicy = ({ file, job }: { file: string, job?: string }): void => {
+  const spec = readDocument(PolicySpecSchema, file)
+  if (!spec.ok) return printFailure(spec.err, EXIT_CODES.usage)
+  const sample = sampleJob(job)
+  if (!sample.ok) return printFailure(sample.err, EXIT_CODES.usage)
+  checkAgainst(spec.value, sample.value)
+}
+
+const putCommand = (description: string): Command => clientCommand('put', description)
+  .addOption(workspaceOption())
+  .requiredOption('-f, --file <file>', 'YAML or JSON file, - for standard input')
+  .option('--seen-version <version>', 'version that the change was made from (default: the one in force now)')
+  .option('--wait', 'return when every live entry has it in force', false)
+
+/** `hazellift policy`. */
+export const policyCommand = (): Command => {
+  const policy = new Command('policy').description('shows, checks and changes a workspace\'s policy')
+  policy.addCommand(putCommand('puts a policy in force').action(putPolicy))
+  policy.addCommand(clientCommand('get', 'prints the policy in force').addOption(workspaceOption()).action(async (options: Named) =>
+    show(PolicyRecordSchema, await clientOf(options).call(PolicyRecordSchema, { method: 'GET', path: `/v1/workspaces/${options.workspace}/policy` }))))
+  policy.addCommand(clientCommand('history', 'lists accepted changes').addOption(workspaceOption()).action(showHistory))
+  policy.addCommand(new Command('check').description('runs a policy against a sample job, without a server')
+    .requiredOption('-f, --file <file>', 'YAML or JSON file of the policy')
+    .option('--job <file>', 'YAML or JSON file of a job')
+    .action(checkPolicy))
+  return policy
+}
+
+/** `hazellift workspace`. */
+export const workspaceCommand = (): Command => {
+  const workspace = new Command('workspace').description('shows and changes workspaces')
+  workspace.addCommand(putCommand('creates or changes a workspace (administrator)').action(putWorkspace))
+  workspace.addCommand(clientCommand('get', 'prints a workspace').addOption(workspaceOption()).action(async (options: Named) =>
+    show(WorkspaceViewSchema, await clientOf(options).call(WorkspaceViewSchema, { method: 'GET', path: `/v1/workspaces/${options.workspace}` }))))
+  workspace.addCommand(clientCommand('list', 'lists all workspaces (administrator)').action(listWorkspaces))
+  workspace.addCommand(clientCommand('history', 'lists accepted changes').addOption(workspaceOption()).action(showHistory))
+  return workspace
+}
--- /dev/null
+++ b/packages/entry/src/createEntryParts.ts
@@ -0,0 +1,239 @@
+import { createBackoff, createLogger, createMetrics, systemClock } from '@hazellift/common'
+import type { Clock, Metrics } from '@hazellift/common'
+import {
+  Admission, ClaimStore, ConfigStore, ConfigWatch, Dispatcher, EntryDirectory, JOB_ORDERS, JobService, OwnedJobs, PICK_RULES
+} from '@hazellift/coordination'
+import type { DispatchEvents, JobOrder, PickRule } from '@hazellift/coordination'
+import { GroupCommit, createHttpObjects, createHttpTable } from '@hazellift/platform'
+import type { StoreObserver } from '@hazellift/platform'
+import { REASONS } from '@hazellift/protocol'
+import type { EntrySettings } from '@hazellift/protocol'
+import { ulid } from 'ulid'
+import type { ApiContext } from './http/context.js'
+import { ClusterView } from './operations/clusterView.js'
+import { createEntryMetrics } from './operations/entryMetrics.js'
+import type { EntryMetrics } from './operations/entryMetrics.js'
+import { Readiness } from './operations/readiness.js'
+import { ConfigSpread } from './peers/configSpread.js'
+import { PeerClients } from './peers/peerClients.js'
+import { createSessions } from './sessions/createSessionService.js'
+import type { Sessions } from './sessions/createSessionService.js'
+import { createSweeper } from './sweeper.js'
+
+/** The parts of an entry, wired together. */
+export interface EntryParts {
+  clock: Clock
+  /** Filled in once the servers listen. */
+  addresses: { api: string, session: string }
+  directory: EntryDirectory
+  watch: ConfigWatch
+  owned: OwnedJobs
+  jobs: JobService
+  sessions: Sessions
+  readiness: Readiness
+  view: ClusterView
+  api: ApiContext
+  sweep: () => Promise<void>
+  /** Fails what is still open, for a stop whose grace time is over. */
+  cutJobs: () => string[]
+}
+
+const STORE_BACKOFF = { baseMs: 20, maxMs: 500 }
+const SET_ASIDE_BACKOFF = { baseMs: 1000, maxMs: 30_000 }
+const COLLECT_TIMEOUT_MS = 2000
+const SAVE_TIMEOUT_MS = 2000
+const SWEEP_PAUSE_MS = 10_000
+/** Heartbeats until agents have heard of a new entry from another one. */
+const WARM_UP_HEARTBEATS = 3
+
+const log = createLogger('entry')
+
+const createStores = (settings: EntrySettings, metrics: EntryMetrics) => {
+  const observe: StoreObserver = (call, outcome, ms) => {
+    metrics.storeCalls.inc({ call, outcome })
+    metrics.storeSeconds.observe({ call }, ms / 1000)
+  }
+  const options = { url: settings.platformUrl, timeoutMs: settings.storeTimeoutMs, observe }
+  const table = createHttpTable(options)
+  const backoff = createBackoff(STORE_BACKOFF, Math.random)
+  const group = new GroupCommit({
+    table, clock: systemClock, intervalMs: settings.commitIntervalMs, maxRows: settings.commitMaxRows, backoff
+  })
+  const configStore = new ConfigStore({ table, clock: systemClock, backoff, timeoutMs: settings.claimTimeoutMs })
+  return { table, objects: createHttpObjects(options), group, configStore }
+}
+
+const createDispatchEvents = (metrics: EntryMetrics, owned: () => OwnedJobs): DispatchEvents => ({
+  complete: (job) => owned().complete(job),
+  failed: (job, reason, message) => owned().fail(job, reason, message),
+  takenOver: (job) => owned().moved(job),
+  started: (_job, waitedMs) => metrics.queueSeconds.observe(waitedMs / 1000),
+  ended: (_job, { outcome, reason, runMs }) => {
+    metrics.attempts.inc({ outcome, reason })
+    if (runMs > 0) metrics.runSeconds.observe(runMs / 1000)
+  },
+  wasted: (reason) => metrics.retries.inc({ reason })
+})
+
+const createDispatcher = (settings: EntrySettings, events: DispatchEvents, admission: () => Admission): Dispatcher => new Dispatcher({
+  clock: systemClock,
+  random: Math.random,
+  zone: settings.zone,
+  rule: PICK_RULES[settings.dispatchRule as keyof typeof PICK_RULES] satisfies PickRule,
+  order: JOB_ORDERS[settings.jobOrder as keyof typeof JOB_ORDERS] satisfies JobOrder,
+  events,
+  weightOf: (workspace) => admission().weightOf(workspace),
+  maxRunningOf: (workspace) => admission().maxRunningOf(workspace),
+  resumeWindowMs: settings.resumeWindowMs,
+  collectTimeoutMs: COLLECT_TIMEOUT_MS,
+  setAsideShare: settings.setAsideShare,
+  setAsideBackoff: createBackoff(SET_ASIDE_BACKOFF, Math.random),
+  defer: queueMicrotask
+})
+
+const createOwnedJobs = (settings: EntrySettings, metrics: EntryMetrics, claims: ClaimStore, dispatcher: () => Dispatcher) => new OwnedJobs({
+  clock: systemClock,
+  now: systemClock.now,
+  maxMs: settings.answerWindowMs,
+  maxBytes: settings.answerWindowBytes,
+  claims,
+  dispatcher,
+  saveTimeoutMs: SAVE_TIMEOUT_MS,
+  observe: (job, { state, reason, run }) => {
+    metrics.jobs.inc({ state, reason })
+    log('job_over', { workspace: job.workspace, job: job.id, state, reason, run, ms: Math.round(systemClock.now() - job.arrivedAt) })
+  }
+})
+
+const createWatch = (settings: EntrySettings, configStore: ConfigStore, onChange: () => void): ConfigWatch => new ConfigWatch({
+  store: configStore,
+  clock: systemClock,
+  pollMs: settings.configPollMs,
+  onChange,
+  onBadPolicy: (workspace, faults) => log('policy_does_not_compile', { workspace, faults: faults.length, first: faults[0]?.message })
+})
+
+/** Who this entry is; the addresses are known once its servers listen. */
+interface Identity {
+  entryId: string
+  incarnation: string
+  addresses: { api: string, session: string }
+}
+
+/** What state and decisions rest on: the store, the configuration and the queues. */
+const createCore = (settings: EntrySettings, identity: Identity, base: Metrics, onEntries: () => void) => {
+  const { entryId, incarnation, addresses } = identity
+  const metrics = createEntryMetrics(base)
+  const stores = createStores(settings, metrics)
+  const { table, objects, group, configStore } = stores
+  const watch = createWatch(settings, configStore, () => dispatcher.pumpAll())
+  const directory = new EntryDirectory({
+    table,
+    group,
+    clock: systemClock,
+    self: () => ({ entryId, incarnation, apiAddress: addresses.api, sessionAddress: addresses.session }),
+    heartbeatMs: settings.heartbeatMs,
+    staleAfterMs: settings.staleAfterMs,
+    configVersion: () => watch.version,
+    onChange: onEntries
+  })
+  const dispatcher: Dispatcher = createDispatcher(settings, createDispatchEvents(metrics, () => owned), () => admission)
+  const claims = new ClaimStore({
+    table, objects, group, clock: systemClock, entryId, incarnation, newNonce: ulid, rowAnswerBytes: settings.rowAnswerBytes
+  })
+  const owned = createOwnedJobs(settings, metrics, claims, () => dispatcher)
+  const admission = new Admission({
+    clock: systemClock,
+    dispatcher,
+    find: (name) => watch.find(name),
+    entryCount: () => directory.serving.length,
+    maxQueued: settings.maxQueued
+  })
+  return { ...stores, metrics, watch, directory, dispatcher, claims, owned, admission }
+}
+type EntryCore = ReturnType<typeof createCore>
+
+const createJobService = (settings: EntrySettings, { entryId, incarnation }: Identity, core: EntryCore, peers: PeerClients) => new JobService({
+  ...core,
+  clock: systemClock,
+  peers,
+  entryId,
+  incarnation,
+  claimTimeoutMs: settings.claimTimeoutMs,
+  defaultDeadlineMs: settings.defaultDeadlineMs,
+  leaseMs: settings.leaseMs,
+  staleAfterMs: settings.staleAfterMs,
+  answerWindowMs: settings.answerWindowMs,
+  observeClaim: (outcome) => core.metrics.claims.inc({ outcome }),
+  isStoreUp: () => core.group.isUp
+})
+
+const addGauges = ({ gauge }: Metrics, { dispatcher, watch }: EntryCore): void => {
+  gauge({ name: 'hazellift_queued_tasks', help: 'Tasks that wait here' }, (metric) => metric.set(dispatcher.queuedTotal))
+  gauge({ name: 'hazellift_credits', help: 'Credits held' }, (metric) =>
+    metric.set(dispatcher.knownAgents.reduce((sum, { credits }) => sum + credits, 0)))
+  gauge({ name: 'hazellift_config_version', help: 'Configuration version in force' }, (metric) => metric.set(Number(watch.version)))
+}
+
+const createView = ({ entryId, incarnation, addresses }: Identity, core: EntryCore, peers: PeerClients, readiness: Readiness) => new ClusterView({
+  entryId,
+  incarnation,
+  apiAddress: () => addresses.api,
+  dispatcher: core.dispatcher,
+  directory: core.directory,
+  peers,
+  configVersion: () => core.watch.version,
+  isReady: () => readiness.isReady,
+  jobs: () => core.owned.size
+})
+
+const cutJobs = (owned: OwnedJobs): string[] => {
+  const keys = owned.openKeys
+  for (const key of keys) owned.failByKey(key, REASONS.stopCut, 'the entry stopped before the job ended')
+  return keys
+}
+
+/**
+ * Wires the parts of an entry.
+ *
+ * @param settings - checked settings
+ */
+export const createEntryParts = (settings: EntrySettings): EntryParts => {
+  const clock = systemClock
+  const identity: Identity = { entryId: settings.entryId, incarnation: ulid(), addresses: { api: '', session: '' } }
+  const base = createMetrics()
+  const peers = new PeerClients(settings.clusterToken)
+  const core = createCore(settings, identity, base, () => {
+    sessions.spreadEntries()
+    peers.keepOnly(new Set(core.directory.live.map(({ sessionAddress }) => sessionAddress)))
+  })
+  const { directory, dispatcher, watch, owned, claims, metrics, configStore } = core
+  const sessions = createSessions({
+    dispatcher,
+    metrics,
+    entryId: identity.entryId,
+    incarnation: identity.incarnation,
+    keepAliveMs: settings.keepAliveMs,
+    timeoutMs: settings.sessionTimeoutMs,
+    entryAddresses: () => directory.serving.map(({ sessionAddress }) => sessionAddress)
+  })
+  const jobs = createJobService(settings, identity, core, peers)
+  const readiness = new Readiness({ clock, watch, dispatcher, directory, peers, warmUpMs: settings.heartbeatMs * WARM_UP_HEARTBEATS })
+  const view = createView(identity, core, peers, readiness)
+  const spread = new ConfigSpread({ clock, entryId: identity.entryId, watch, directory, peers })
+  addGauges(base, core)
+  return {
+    clock,
+    addresses: identity.addresses,
+    directory,
+    watch,
+    owned,
+    jobs,
+    sessions,
+    readiness,
+    view,
+    api: { settings, jobs, watch, configStore, spread, view, metrics, registry: base.registry, isReady: () => readiness.isReady },
+    sweep: createSweeper({ clock, claims, retentionMs: settings.claimRetentionMs, intervalMs: SWEEP_PAUSE_MS }),
+    cutJobs: () => cutJobs(owned)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/jobHandlers.ts
@@ -0,0 +1,67 @@
+import { JobSpecSchema, REASONS, TOKEN_ROLES } from '@hazellift/protocol'
+import type { JobReply, WorkspaceConfig } from '@hazellift/coordination'
+import { authenticate } from './authenticate.js'
+import { checkJobSpec, isJobId } from './checkNames.js'
+import type { ApiContext, ApiHandler, ApiRequest } from './context.js'
+import { notRunError } from './httpError.js'
+import { readMessage, readMs } from './readMessage.js'
+import { sendError, sendJobReply } from './reply.js'
+
+const DEFAULT_WAIT_MS = 30_000
+
+const finish = ({ metrics }: ApiContext, { res, params }: ApiRequest, id: string, reply: JobReply): void => {
+  if (reply.type === 'refused') metrics.refusals.inc({ reason: reply.reason })
+  sendJobReply(res, params['workspace'] ?? '', id, reply)
+}
+
+const authenticateCaller = (context: ApiContext, request: ApiRequest): WorkspaceConfig | undefined => {
+  const { watch, settings, metrics } = context
+  const auth = authenticate(request.req, watch, request.params['workspace'] ?? '', TOKEN_ROLES.caller, settings.adminToken)
+  if (auth.ok) return auth.value.config
+  metrics.refusals.inc({ reason: auth.err.reason })
+  sendError(request.res, auth.err)
+  return undefined
+}
+
+const refuseBadId = ({ res }: ApiRequest): void =>
+  sendError(res, notRunError(REASONS.notFound, 'no such job'))
+
+/** Submits a job, or attaches to it if it was submitted before. */
+export const submitJob: ApiHandler = async (context, request) => {
+  const { settings, metrics, jobs } = context
+  const config = authenticateCaller(context, request)
+  if (config === undefined) return
+  const waitMs = readMs(request.query['waitMs'], DEFAULT_WAIT_MS, settings.maxDeadlineMs)
+  if (!waitMs.ok) return sendError(request.res, waitMs.err)
+  const spec = await readMessage(context, request, JobSpecSchema)
+  if (!spec.ok) {
+    metrics.refusals.inc({ reason: spec.err.reason })
+    return sendError(request.res, spec.err)
+  }
+  const fault = checkJobSpec(spec.value, settings.maxTasks, settings.maxDeadlineMs)
+  if (fault !== undefined) {
+    metrics.refusals.inc({ reason: REASONS.badRequest })
+    return sendError(request.res, notRunError(REASONS.badRequest, fault))
+  }
+  finish(context, request, spec.value.id, await jobs.submit(config, spec.value, waitMs.value))
+}
+
+/** Asks for a job, waiting for its answer if asked to. */
+export const getJob: ApiHandler = async (context, request) => {
+  const config = authenticateCaller(context, request)
+  if (config === undefined) return
+  const id = request.params['id'] ?? ''
+  if (!isJobId(id)) return refuseBadId(request)
+  const waitMs = readMs(request.query['waitMs'], 0, context.settings.maxDeadlineMs)
+  if (!waitMs.ok) return sendError(request.res, waitMs.err)
+  finish(context, request, id, await context.jobs.ask(config.record.name, id, waitMs.value))
+}
+
+/** Cancels a job. */
+export const cancelJob: ApiHandler = async (context, request) => {
+  const config = authenticateCaller(context, request)
+  if (config === undefined) return
+  const id = request.params['id'] ?? ''
+  if (!isJobId(id)) return refuseBadId(request)
+  finish(context, request, id, await context.jobs.cancel(config.record.name, id))
+}
--- /dev/null
+++ b/packages/entry/src/operations/readiness.ts
@@ -0,0 +1,53 @@
+import type { Clock } from '@hazellift/common'
+import type { ConfigWatch, Dispatcher, EntryDirectory } from '@hazellift/coordination'
+import type { PeerClients } from '../peers/peerClients.js'
+
+/** What readiness depends on. */
+export interface ReadinessOptions {
+  clock: Clock
+  watch: ConfigWatch
+  dispatcher: Dispatcher
+  directory: Pick<EntryDirectory, 'peers' | 'isEntered'>
+  peers: Pick<PeerClients, 'status'>
+  /** Longest wait for agents to find this entry, in ms. */
+  warmUpMs: number
+}
+
+const CHECK_MS = 100
+
+/**
+ * An entry is ready once it has the configuration in force and as many agents
+ * as its peers have, or has waited long enough for them.
+ */
+export class Readiness {
+  private warm = false
+  private stopping = false
+
+  constructor (private readonly options: ReadinessOptions) {}
+
+  /** True while requests should come here. */
+  get isReady (): boolean {
+    return this.warm && this.options.watch.isLoaded && !this.stopping
+  }
+
+  /** Takes the entry out of the balancer. */
+  stop (): void {
+    this.stopping = true
+  }
+
+  /** Resolves once the entry is ready for the first time. */
+  async warmUp (): Promise<void> {
+    const { clock, watch, directory, warmUpMs } = this.options
+    const until = clock.now() + warmUpMs
+    while (!watch.isLoaded || !directory.isEntered || (clock.now() < until && !await this.hasAgents())) await clock.sleep(CHECK_MS)
+    this.warm = true
+  }
+
+  private async hasAgents (): Promise<boolean> {
+    const own = this.options.dispatcher.knownAgents.length
+    if (own === 0) return false
+    const answers = await Promise.all(this.options.directory.peers.map(({ sessionAddress }) =>
+      this.options.peers.status(sessionAddress)))
+    return answers.every((answer) => answer === undefined || answer.endpoints.length <= own)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/createPeerService.ts
@@ -0,0 +1,23 @@
+import type { ServiceImpl } from '@connectrpc/connect'
+import type { ConfigWatch, JobService } from '@hazellift/coordination'
+import type { PeerService } from '@hazellift/protocol'
+import type { ClusterView } from '../operations/clusterView.js'
+
+const CANCEL_WAIT_MS = 2000
+
+/**
+ * Answers calls of other entries.
+ *
+ * @param jobs - jobs of this entry
+ * @param watch - configuration in force
+ * @param view - what this entry sees
+ */
+export const createPeerService = (jobs: JobService, watch: ConfigWatch, view: ClusterView): ServiceImpl<typeof PeerService> => ({
+  await: (query) => jobs.answerPeer(query),
+  cancel: (query) => jobs.cancelForPeer({ ...query, waitMs: CANCEL_WAIT_MS }),
+  configChanged: async ({ version }) => {
+    if (watch.version < version) await watch.refresh()
+    return { version: watch.version }
+  },
+  status: () => view.own()
+})
--- /dev/null
+++ b/packages/entry/src/sessions/createSessionService.ts
@@ -0,0 +1,107 @@
+import { setImmediate as yieldTurn } from 'node:timers/promises'
+import { create } from '@bufbuild/protobuf'
+import type { HandlerContext, ServiceImpl } from '@connectrpc/connect'
+import { createLogger, errorMessage } from '@hazellift/common'
+import { Outbox } from '@hazellift/coordination'
+import type { AgentHandle, AgentLink, Dispatcher } from '@hazellift/coordination'
+import { EntryFrameSchema, EntryListSchema, WelcomeSchema } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame, SessionService } from '@hazellift/protocol'
+import { countAgentFrame, countEntryFrame } from '../operations/countMessages.js'
+import type { EntryMetrics } from '../operations/entryMetrics.js'
+
+/** What sessions need. */
+export interface SessionOptions {
+  dispatcher: Dispatcher
+  metrics: EntryMetrics
+  entryId: string
+  incarnation: string
+  keepAliveMs: number
+  timeoutMs: number
+  /** Session addresses of entries that agents should dial. */
+  entryAddresses: () => string[]
+}
+
+/** Sessions open at this entry. */
+export interface Sessions {
+  service: ServiceImpl<typeof SessionService>
+  /** Tells all agents which entries live. */
+  spreadEntries: () => void
+  /** Tells all agents that this entry takes no new work. */
+  leave: () => void
+  closeAll: () => void
+}
+
+interface Session {
+  link: AgentLink
+  /** Set once the agent said hello. */
+  agent: AgentHandle | undefined
+  lastSeenAt: number
+}
+
+const log = createLogger('entry:session')
+const newFrame = (): EntryFrame => create(EntryFrameSchema)
+
+/**
+ * The agents' side of an entry's server: one task a session.
+ *
+ * @param options - what sessions need
+ */
+export const createSessions = (options: SessionOptions): Sessions => {
+  const { dispatcher, metrics, entryId, incarnation } = options
+  const outboxes = new Set<Outbox<EntryFrame>>()
+
+  const listEntries = (frame: EntryFrame): void => {
+    frame.entries = create(EntryListSchema, { addresses: options.entryAddresses() })
+  }
+
+  const read = async (frames: AsyncIterable<AgentFrame>, session: Session): Promise<void> => {
+    try {
+      for await (const frame of frames) {
+        session.lastSeenAt = performance.now()
+        countAgentFrame(metrics, frame)
+        if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
+        if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
+      }
+    } catch (err) {
+      log('session_broken', { agent: session.agent?.agentId, error: errorMessage(err) })
+    } finally {
+      session.link.close()
+    }
+  }
+
+  async function * open (frames: AsyncIterable<AgentFrame>, context: HandlerContext): AsyncGenerator<EntryFrame> {
+    const outbox = new Outbox(newFrame, () => yieldTurn())
+    outboxes.add(outbox)
+    outbox.add((frame) => {
+      frame.welcome = create(WelcomeSchema, { entryId, incarnation })
+      listEntries(frame)
+    })
+    const link: AgentLink = { add: (add) => outbox.add(add), close: () => outbox.close() }
+    const session: Session = { link, agent: undefined, lastSeenAt: performance.now() }
+    const timer = setInterval(() => {
+      if (performance.now() - session.lastSeenAt > options.timeoutMs) return link.close()
+      link.add(() => {})
+    }, options.keepAliveMs)
+    context.signal.addEventListener('abort', link.close)
+    void read(frames, session)
+    try {
+      for await (const frame of outbox) {
+        countEntryFrame(metrics, frame)
+        yield frame
+      }
+    } finally {
+      clearInterval(timer)
+      outboxes.delete(outbox)
+      if (session.agent !== undefined) dispatcher.closed(session.agent, link)
+    }
+  }
+
+  const addToAll = (add: (frame: EntryFrame) => void): void => { for (const outbox of outboxes) outbox.add(add) }
+
+  return {
+    service: { open },
+    spreadEntries: () => addToAll(listEntries),
+    leave: () => addToAll((frame) => { frame.leaving = true }),
+    closeAll: () => { for (const outbox of outboxes) outbox.close() }
+  }
+}
--- a/packages/platform/src/groupCommit.ts
+++ b/packages/platform/src/groupCommit.ts
@@ -50,6 +50,9 @@
   return batch
 }
 
+/** One lost acknowledgement is no outage; this many failures in a row are. */
+const DOWN_AFTER_FAILURES = 3
+
 /**
  * Group commit: all waiting writes travel in one transaction, with one in
  * flight. A transaction whose outcome is unknown is sent again unchanged: its
@@ -83,9 +86,9 @@
     return this.queue.length + this.inFlight
   }
 
-  /** False from the first failure of a transaction to the next success. */
+  /** False from the third failure of a transaction in a row to the next success. */
   get isUp (): boolean {
-    return this.failures === 0
+    return this.failures < DOWN_AFTER_FAILURES
   }
 
   private async run (): Promise<void> {
--- /dev/null
+++ b/packages/standins/src/cluster/cluster.ts
@@ -0,0 +1,231 @@
+import { mkdtempSync, readFileSync, rmSync, existsSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import { tmpdir } from 'node:os'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { createApiClient } from '@hazellift/entry'
+import type { ApiClient } from '@hazellift/entry'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+import type { EndpointBehaviour } from '../endpoint/startEndpoint.js'
+import type { PlatformFaults } from '../platform/faults.js'
+import { startProgram } from './childProcess.js'
+import type { Program } from './childProcess.js'
+
+/** An agent with its endpoint. */
+export interface Worker {
+  index: number
+  agent: Program
+  endpoint: Program
+}
+
+/** What a cluster is made of. */
+export interface ClusterOptions {
+  entries: number
+  workers: number
+  service?: string
+  slots?: number
+  connections?: number
+  zones?: string[]
+  /** Further flags of entries and agents. */
+  entryArgs?: string[]
+  agentArgs?: string[]
+  /** Namespaces that the programs log. */
+  log?: string
+  workspaces?: ClusterWorkspace[]
+}
+
+/** A workspace that exists once the cluster is up. */
+export interface ClusterWorkspace {
+  name: string
+  body?: object
+}
+
+/** Tokens of the cluster's tests. */
+export const ADMIN_TOKEN = 'admin-token-for-trials'
+const CLUSTER_TOKEN = 'cluster-token-for-trials'
+const READY_TIMEOUT_MS = 30_000
+const POLL_MS = 50
+const DEFAULT_ZONES = ['zone-a', 'zone-b', 'zone-c']
+
+const require = createRequire(import.meta.url)
+const distOf = (name: string): string => dirname(require.resolve(`@hazellift/${name}`))
+const here = dirname(fileURLToPath(import.meta.url))
+const SCRIPTS = {
+  entry: join(distOf('entry'), 'main.js'),
+  agent: join(distOf('agent'), 'main.js'),
+  platform: join(here, '..', 'platform', 'main.js'),
+  endpoint: join(here, '..', 'endpoint', 'main.js')
+}
+
+/** Token of a workspace's callers in trials. */
+export const callerToken = (workspace: string): string => `caller-token-of-${workspace}`
+
+/** Token of a workspace's operators in trials. */
+export const operatorToken = (workspace: string): string => `operator-token-of-${workspace}`
+
+/** All programs of a deployment, as separate processes on loopback. */
+export class Cluster {
+  readonly entries: Program[] = []
+  readonly workers: Worker[] = []
+  platform!: Program
+  private readonly everything: Program[] = []
+  private readonly recordDir = mkdtempSync(join(tmpdir(), 'hazellift-'))
+
+  private constructor (private readonly options: ClusterOptions) {}
+
+  /** Starts a cluster and waits until every entry sees every endpoint. */
+  static async start (options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options)
+    try {
+      cluster.platform = await cluster.run('platform', SCRIPTS.platform, [])
+      for (let index = 0; index < options.entries; index++) cluster.entries.push(await cluster.startEntry(index))
+      const indices = Array.from({ length: options.workers }, (_, index) => index)
+      cluster.workers.push(...await Promise.all(indices.map((index) => cluster.startWorker(index))))
+      await cluster.waitForEndpoints(options.workers)
+      for (const workspace of options.workspaces ?? [{ name: 'florist' }]) await cluster.putWorkspace(workspace)
+      return cluster
+    } catch (err) {
+      await cluster.stop()
+      throw err
+    }
+  }
+
+  /** Starts an entry, or starts it again on its old ports. */
+  async startEntry (index: number, ports?: { api: string, session: string }): Promise<Program> {
+    const { zones = DEFAULT_ZONES, entryArgs = [], log = 'hazellift:*' } = this.options
+    const portOf = (address: string | undefined) => address?.split(':')[1] ?? '0'
+    return this.run(`entry-${index}`, SCRIPTS.entry, [
+      'entry', '--entry-id', `entry-${index}`, '--zone', zones[index % zones.length]!,
+      '--api-port', portOf(ports?.api), '--session-port', portOf(ports?.session),
+      '--platform-url', `http://${this.platform.facts['platform']}`,
+      '--cluster-token', CLUSTER_TOKEN, '--admin-token', ADMIN_TOKEN, '--log', log, ...entryArgs
+    ])
+  }
+
+  /** Starts an agent. */
+  async startAgent (index: number, port = '0'): Promise<Program> {
+    const { zones = DEFAULT_ZONES, agentArgs = [], log = 'hazellift:*' } = this.options
+    const seeds = this.entries.filter((entry) => entry.isRunning()).map(({ facts }) => facts['session']!).join()
+    return this.run(`agent-${index}`, SCRIPTS.agent, [
+      '--agent-id', `agent-${index}`, '--zone', zones[index % zones.length]!, '--agent-port', port,
+      '--seeds', seeds, '--cluster-token', CLUSTER_TOKEN, '--log', log, ...agentArgs
+    ])
+  }
+
+  /** Starts an endpoint beside an agent. */
+  async startEndpoint (index: number, agent: Program): Promise<Program> {
+    const { service = 'order-desk', slots = 8, connections = 64 } = this.options
+    return this.run(`endpoint-${index}`, SCRIPTS.endpoint, [
+      '--id', `endpoint-${index}`, '--agent-url', `http://${agent.facts['agent']}`, '--service', service,
+      '--slots', String(slots), '--connections', String(connections), '--record-file', this.recordFile(index)
+    ])
+  }
+
+  /** The API at one entry, with a caller's token unless another is given. */
+  api (index = 0, token = callerToken('florist')): ApiClient {
+    return createApiClient({ url: this.apiUrl(index), token })
+  }
+
+  /** Base URL of an entry's API. */
+  apiUrl (index = 0): string {
+    return `http://${this.entries[index]!.facts['api']}`
+  }
+
+  /** Sets faults of the platform. */
+  async setPlatform (faults: Partial<PlatformFaults>): Promise<void> {
+    await this.control(this.platform.facts['platform']!, faults)
+  }
+
+  /** Sets the behaviour of an endpoint. */
+  async setEndpoint (index: number, behaviour: Partial<EndpointBehaviour>): Promise<void> {
+    await this.control(this.workers[index]!.endpoint.facts['endpoint']!, behaviour)
+  }
+
+  /** Keys of all tasks that any endpoint started, as often as they were; read from the endpoints' own records. */
+  startedKeys (): string[] {
+    return Array.from({ length: this.options.workers }, (_, index) => this.recordFile(index))
+      .filter((file) => existsSync(file))
+      .flatMap((file) => readFileSync(file, 'utf8').split('\n').filter((line) => line !== ''))
+  }
+
+  /** Keys that were started more than once. */
+  startedTwice (): string[] {
+    const seen = new Set<string>()
+    return this.startedKeys().filter((key) => seen.size === seen.add(key).size)
+  }
+
+  /** Waits until every running entry is ready and sees this many endpoints. */
+  async waitForEndpoints (count: number): Promise<void> {
+    await this.waitUntil(`${count} endpoints at every entry`, async () => {
+      const running = this.entries.filter((entry) => entry.isRunning())
+      const states = await Promise.all(running.map((entry) => this.seesEndpoints(entry.facts['api']!, count)))
+      return states.every(Boolean)
+    })
+  }
+
+  /** Waits for a condition, and fails with its name if it does not come. */
+  async waitUntil (what: string, isTrue: () => Promise<boolean> | boolean, timeoutMs = READY_TIMEOUT_MS): Promise<void> {
+    const until = Date.now() + timeoutMs
+    while (!await isTrue()) {
+      if (Date.now() > until) throw new Error(`waited in vain for ${what}\n${this.tailOfLogs()}`)
+      await sleep(POLL_MS)
+    }
+  }
+
+  /** Ends every program that this cluster started. */
+  async stop (): Promise<void> {
+    for (const program of this.everything) {
+      if (!program.isRunning()) continue
+      program.kill('SIGCONT')
+      program.kill('SIGKILL')
+    }
+    await Promise.all(this.everything.map(({ exited }) => exited))
+    rmSync(this.recordDir, { recursive: true, force: true })
+  }
+
+  /** Creates a workspace with a caller's and an operator's token. */
+  async putWorkspace ({ name, body = {} }: ClusterWorkspace): Promise<void> {
+    const tokens = [
+      { name: 'caller', role: 'caller', token: callerToken(name) },
+      { name: 'operator', role: 'operator', token: operatorToken(name) }
+    ]
+    const res = await this.api(0, ADMIN_TOKEN).send({
+      method: 'PUT', path: `/v1/workspaces/${name}?waitMs=10000`, body: JSON.stringify({ tokens, ...body })
+    })
+    if (!res.ok) throw new Error(`cannot put workspace ${name}: ${JSON.stringify(res.err, (_, value) => typeof value === 'bigint' ? String(value) : value)}`)
+  }
+
+  private async startWorker (index: number): Promise<Worker> {
+    const agent = await this.startAgent(index)
+    return { index, agent, endpoint: await this.startEndpoint(index, agent) }
+  }
+
+  private async run (name: string, script: string, args: string[]): Promise<Program> {
+    const program = await startProgram({ name, script, args })
+    this.everything.push(program)
+    return program
+  }
+
+  private async control (address: string, body: object): Promise<void> {
+    const res = await request(`http://${address}/control`, { method: 'PUT', body: JSON.stringify(body) })
+    await res.body.dump()
+  }
+
+  private async seesEndpoints (api: string, count: number): Promise<boolean> {
+    const ready = await request(`http://${api}/readyz`)
+    await ready.body.dump()
+    const res = await request(`http://${api}/v1/status`, { headers: { authorization: `Bearer ${ADMIN_TOKEN}` } })
+    const status = await res.body.json() as { entries: { endpoints: { service: string }[] }[] }
+    const endpoints = status.entries[0]?.endpoints.filter(({ service }) => service !== '') ?? []
+    return ready.statusCode === 200 && endpoints.length === count
+  }
+
+  private recordFile (index: number): string {
+    return join(this.recordDir, `endpoint-${index}.txt`)
+  }
+
+  private tailOfLogs (): string {
+    return this.everything.map((program) => `--- ${program.name}\n${program.logLines().slice(-15).join('\n')}`).join('\n')
+  }
+}
