--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -102,8 +102,10 @@
   const sessionServer = createSessionServer(settings, parts)
   const openSessions = trackSessions(sessionServer)
   const apiServer = createApiServer(parts.api)
-  parts.addresses.session = await listen(sessionServer, settings.listenHost, settings.sessionPort)
-  parts.addresses.api = await listen(apiServer, settings.listenHost, settings.apiPort)
+  const sessionAddress = await listen(sessionServer, settings.listenHost, settings.sessionPort)
+  const apiAddress = await listen(apiServer, settings.listenHost, settings.apiPort)
+  parts.addresses.session = settings.advertiseSession || sessionAddress
+  parts.addresses.api = settings.advertiseApi || apiAddress
   const stopLoops = startLoops(parts, settings)
   const ready = parts.readiness.warmUp()
   void ready.then(() => log('ready', { entry: settings.entryId, api: parts.addresses.api, session: parts.addresses.session }))
@@ -128,8 +130,8 @@
   }
 
   return {
-    apiAddress: parts.addresses.api,
-    sessionAddress: parts.addresses.session,
+    apiAddress,
+    sessionAddress,
     ready,
     stop,
     cut: () => {
--- /dev/null
+++ b/packages/standins/src/cluster/relay.ts
@@ -0,0 +1,80 @@
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+
+/** Passes connections on to a target, until it is told to cut them. */
+export interface Relay {
+  address: string
+  setTarget: (address: string) => void
+  /** Ends all connections at once; new ones pass. */
+  cut: () => void
+  /** Ends all connections and refuses new ones, until `heal`. */
+  sever: () => void
+  /** Holds back everything that arrives, as a network that loses packets does, until `heal`. */
+  freeze: () => void
+  heal: () => void
+  close: () => void
+}
+
+/**
+ * Starts a relay on loopback.
+ *
+ * @param target - host:port, may be set later
+ */
+export const startRelay = async (target = ''): Promise<Relay> => {
+  const sockets = new Set<Socket>()
+  let to = target
+  let severed = false
+  let frozen = false
+
+  const keep = (socket: Socket): void => {
+    sockets.add(socket)
+    socket.on('error', () => socket.destroy())
+    socket.on('close', () => sockets.delete(socket))
+    if (frozen) socket.pause()
+  }
+
+  const join = (from: Socket): void => {
+    const [host, port] = to.split(':')
+    const onward = connect(Number(port), host)
+    keep(from)
+    keep(onward)
+    from.on('data', (chunk) => onward.write(chunk))
+    onward.on('data', (chunk) => from.write(chunk))
+    from.on('close', () => onward.destroy())
+    onward.on('close', () => from.destroy())
+    if (!frozen) return
+    from.pause()
+    onward.pause()
+  }
+
+  const server = createServer((socket) => {
+    if (severed) socket.destroy()
+    else join(socket)
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const cut = (): void => { for (const socket of sockets) socket.destroy() }
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    setTarget: (address) => { to = address },
+    cut,
+    sever: () => {
+      severed = true
+      cut()
+    },
+    freeze: () => {
+      frozen = true
+      for (const socket of sockets) socket.pause()
+    },
+    heal: () => {
+      severed = false
+      frozen = false
+      for (const socket of sockets) socket.resume()
+    },
+    close: () => {
+      cut()
+      server.close()
+    }
+  }
+}
--- a/packages/standins/src/endpoint/main.ts
+++ b/packages/standins/src/endpoint/main.ts
@@ -11,6 +11,7 @@
   connections: string
   heartbeatMs: string
   recordFile?: string
+  advertise?: string
 }
 
 const flags = new Command('standin-endpoint')
@@ -22,6 +23,7 @@
   .option('--connections <n>', 'connections', '64')
   .option('--heartbeat-ms <ms>', 'interval of announcements', '500')
   .option('--record-file <path>', 'where starts are recorded')
+  .option('--advertise <host:port>', 'address to announce, if another')
   .parse().opts<Flags>()
 
 const endpoint = await startEndpoint({
