--- /dev/null
+++ b/tests/failures/platformFailures.test.ts
@@ -0,0 +1,129 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Cluster } from '@hazellift/standins'
+import { expect, test } from 'vitest'
+import { QUICK_AGENT_ARGS, QUICK_ENTRY_ARGS, ask, startsOf, submit, submitUntilFinal, tasksOf } from '../support.js'
+
+const withCluster = async (run: (cluster: Cluster) => Promise<void>): Promise<void> => {
+  const cluster = await Cluster.start({
+    entries: 2, workers: 3, slots: 4, relays: true, entryArgs: QUICK_ENTRY_ARGS, agentArgs: QUICK_AGENT_ARGS
+  })
+  try {
+    await run(cluster)
+    expect(cluster.startedTwice()).toEqual([])
+  } finally {
+    await cluster.stop()
+  }
+}
+
+const AWAY = [{ mode: 'refuse' as const }, { mode: 'hang' as const }]
+
+test.each(AWAY)('the table is away ($mode): new submissions are refused as not run, claimed jobs run on, and it recovers', ({ mode }) =>
+  withCluster(async (cluster) => {
+    const claimed = submit(cluster, { id: 'claimed', tasks: tasksOf(24, 400) })
+    await sleep(200)
+    await cluster.setPlatform({ mode })
+    const refused = await submit(cluster, { id: 'new' })
+    expect(refused).toMatchObject({ status: 503, reason: 'store_down', run: 'not run' })
+    expect(refused.retryAfterMs).toBeGreaterThan(0)
+    expect(await claimed).toMatchObject({ state: 'complete' })
+    expect(startsOf(cluster, 'new')).toEqual([])
+    await cluster.setPlatform({ mode: 'ok' })
+    expect(await submitUntilFinal(cluster, { id: 'new' }, [0, 1])).toMatchObject({ state: 'complete' })
+    expect(startsOf(cluster, 'new')).toHaveLength(1)
+  }))
+
+test.each(AWAY)('the table is away ($mode): a resubmission at the other entry finds the job in its owner\'s memory', ({ mode }) =>
+  withCluster(async (cluster) => {
+    const job = { id: 'known', tasks: tasksOf(3, 50) }
+    const first = await submit(cluster, job, { entry: 0 })
+    await cluster.setPlatform({ mode })
+    await sleep(1200)
+    const told = await submit(cluster, job, { entry: 1 })
+    expect(told).toMatchObject({ status: 200, state: 'complete', results: first.results })
+    expect(await submit(cluster, { ...job, tasks: tasksOf(4, 50) }, { entry: 1 })).toMatchObject({ status: 409 })
+  }))
+
+test('the table is away and an entry was lost: a refusal does not claim "not run"', () => withCluster(async (cluster) => {
+  const job = { id: 'ran-before', tasks: tasksOf(3, 50) }
+  await submit(cluster, job, { entry: 0 })
+  cluster.entries[0]!.kill('SIGKILL')
+  await cluster.setPlatform({ mode: 'refuse' })
+  await sleep(1500)
+  expect(await submit(cluster, job, { entry: 1 })).toMatchObject({ status: 503, run: 'may have run' })
+}))
+
+test('the acknowledgement of a claim is lost: the job runs once', () => withCluster(async (cluster) => {
+  await cluster.setPlatform({ loseAcks: 6 })
+  const jobs = Array.from({ length: 12 }, (_, n) => ({ id: `lost-ack-${n}`, tasks: tasksOf(2, 30) }))
+  const told = await Promise.all(jobs.flatMap((job) => [0, 1].map((entry) => submit(cluster, job, { entry }))))
+  for (const { state } of told) expect(state).toBe('complete')
+  expect(cluster.startedKeys()).toHaveLength(24)
+}))
+
+test('a claim lands after its entry gave up on it: refused as not run, it runs when submitted again, at either entry', () =>
+  withCluster(async (cluster) => {
+    for (const entry of [0, 1]) {
+      const job = { id: `held-${entry}`, tasks: tasksOf(2, 30) }
+      await cluster.setPlatform({ holdWrites: 20, holdMs: 2500 })
+      const refused = await submit(cluster, job, { entry: 0 })
+      expect(refused).toMatchObject({ status: 503, reason: 'store_down', run: 'not run' })
+      await cluster.setPlatform({ holdWrites: 0, holdMs: 0 })
+      await sleep(3000)
+      expect(startsOf(cluster, job.id)).toEqual([])
+      expect(await submitUntilFinal(cluster, job, [entry])).toMatchObject({ state: 'complete' })
+      expect(startsOf(cluster, job.id)).toHaveLength(2)
+    }
+  }))
+
+test('the table is slow: jobs complete', () => withCluster(async (cluster) => {
+  await cluster.setPlatform({ writeMs: 300, readMs: 200 })
+  const told = await Promise.all([0, 1, 0, 1].map((entry, n) => submit(cluster, { id: `slow-${n}`, tasks: tasksOf(5, 50) }, { entry })))
+  for (const { state } of told) expect(state).toBe('complete')
+}))
+
+test('connections to the table are cut at every moment: each job runs once', () => withCluster(async (cluster) => {
+  const jobs = Array.from({ length: 60 }, (_, n) => ({ id: `cut-${n}`, tasks: tasksOf(2, 20), unrepeatable: n % 2 === 0 }))
+  const told = jobs.map(async (job, n) => {
+    await sleep(n * 30)
+    return submitUntilFinal(cluster, job, [n % 2, (n + 1) % 2])
+  })
+  for (let round = 0; round < 25; round++) {
+    await sleep(80)
+    cluster.relays.platform!.cut()
+  }
+  for (const { state } of await Promise.all(told)) expect(state).toBe('complete')
+  expect(cluster.startedKeys()).toHaveLength(120)
+}))
+
+test('an unrepeatable job ends while the table is away: nobody is told until its state is saved', () => withCluster(async (cluster) => {
+  const told = submit(cluster, { id: 'booking', tasks: tasksOf(2, 600), unrepeatable: true })
+  await sleep(250)
+  await cluster.setPlatform({ mode: 'refuse' })
+  expect(await told).toMatchObject({ status: 503, reason: 'answer_unsaved' })
+  await cluster.setPlatform({ mode: 'ok' })
+  const first = await submitUntilFinal(cluster, { id: 'booking', tasks: tasksOf(2, 600), unrepeatable: true }, [0])
+  expect(first).toMatchObject({ state: 'complete' })
+  cluster.entries[0]!.kill('SIGKILL')
+  expect(await ask(cluster, 'booking', { entry: 1 })).toMatchObject({ state: 'complete', results: first.results })
+}))
+
+test('table away and owner killed together: after both, the resubmission is answered and nothing ran twice', () => withCluster(async (cluster) => {
+  const job = { id: 'together', tasks: tasksOf(6, 700), unrepeatable: true }
+  const first = submit(cluster, job, { entry: 0 })
+  await sleep(300)
+  await cluster.setPlatform({ mode: 'hang' })
+  cluster.entries[0]!.kill('SIGKILL')
+  await first
+  const during = await submit(cluster, job, { entry: 1, waitMs: 1000 })
+  expect(during.run).not.toBe('not run')
+  await cluster.setPlatform({ mode: 'ok' })
+  expect(await submitUntilFinal(cluster, job, [1])).toMatchObject({ state: 'complete' })
+}))
+
+test('a large answer is kept in the object store and given by another entry', () => withCluster(async (cluster) => {
+  const tasks = [{ payload: JSON.stringify({ ms: 10, bytes: 60_000 }) }]
+  const first = await submit(cluster, { id: 'large', tasks, unrepeatable: true })
+  expect(first.results[0]!.length).toBeGreaterThan(60_000)
+  cluster.entries[0]!.kill('SIGKILL')
+  expect(await ask(cluster, 'large', { entry: 1 })).toMatchObject({ state: 'complete', results: first.results })
+}))
