The protocol's model in Promela, checked by SPIN, and a revoke kept for its claim's deadline

Cause: the core protocol was unproved, and the first check of the model found a hole: an agent forgot a takeover after its memory's time (120 s), while the first owner's deadline may be longer (up to 600 s); that owner, alive and never told, could then send a fresh start, so a task began after the takeover had been answered 'failed, may have run'. Ruled out: the stamp (the start is fresh) and the session fence (the session never broke). Change: Collect carries keep_ms, the claim's deadline, and agents refuse the submission for that long. In the model NO_KEEP_REVOKES brings the hole back.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -110,12 +110,16 @@
     this.schedulePump(service)
   }
 
-  /** Asks all agents what they know of a job taken over; nothing of it starts any more. */
-  collect (job: Job): void {
+  /**
+   * Asks all agents what they know of a job taken over; nothing of it starts any more.
+   *
+   * @param keepMs - how long agents must refuse its starts: the claim's deadline
+   */
+  collect (job: Job, keepMs: number): void {
     this.jobs.set(job.key, job)
     const open = this.knownAgents.filter(({ link, resumed }) => link !== undefined && resumed)
     job.collecting = new Set(open.map(({ agentId }) => agentId))
-    const message = create(CollectSchema, { workspace: job.workspace, submission: job.id })
+    const message = create(CollectSchema, { workspace: job.workspace, submission: job.id, keepMs })
     for (const { link } of open) link!.add((frame) => { frame.collects.push(message) })
     this.options.clock.after(this.options.collectTimeoutMs, () => this.endCollect(job))
     if (open.length === 0) this.endCollect(job)
--- a/packages/coordination/src/jobs/ownedJobs.ts
+++ b/packages/coordination/src/jobs/ownedJobs.ts
@@ -70,7 +70,7 @@
   /** Collects what agents know of a job under a claim taken over. */
   collect (job: Job, claim: Claim): void {
     this.adopt(job, claim)
-    this.options.dispatcher().collect(job)
+    this.options.dispatcher().collect(job, claim.record.deadlineMs)
   }
 
   /** The claim of an open job. */
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock } from '@hazellift/common'
 import { CollectedSchema, EndpointStateSchema, REASONS, ResumeSchema, TASK_OUTCOMES, TaskResultSchema } from '@hazellift/protocol'
-import type { AgentFrame, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
+import type { AgentFrame, Collect, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
 import { SlotGranter } from '../slots/slotGranter.js'
 import { TaskLedger } from './taskLedger.js'
 import type { TaskEntry } from './taskLedger.js'
@@ -122,7 +122,7 @@
     if (frame.returnedCredits > 0) this.granter.returned(incarnation, frame.returnedCredits)
     for (const start of frame.starts) this.onStart(incarnation, start)
     for (const { workspace, submission, tasks } of frame.revokes) this.onRevoke(incarnation, workspace, submission, tasks)
-    for (const { workspace, submission } of frame.collects) this.onCollect(incarnation, workspace, submission)
+    for (const collect of frame.collects) this.onCollect(incarnation, collect)
     if (frame.demand !== undefined) this.granter.setDemand(incarnation, frame.demand)
     this.grant()
   }
@@ -270,10 +270,10 @@
     for (const { abort } of started) abort?.(REASONS.revoked)
   }
 
-  private onCollect (incarnation: string, workspace: string, submission: string): void {
+  private onCollect (incarnation: string, { workspace, submission, keepMs }: Collect): void {
     const before = this.ledger.revoke(workspace, submission, [])
     this.refuseWaitingOf(new Set(before))
-    const started = this.ledger.collect(workspace, submission, incarnation)
+    const started = this.ledger.collect(workspace, submission, incarnation, keepMs)
     for (const { origin, key } of started) if (origin !== incarnation) this.tellTakenOver(origin, key)
     for (const { result } of started) if (result !== undefined) this.deliver(incarnation, { ...result })
     const running = started.filter(({ result }) => result === undefined).map(({ key }) => key.task)
--- a/packages/coordination/src/tasks/taskLedger.ts
+++ b/packages/coordination/src/tasks/taskLedger.ts
@@ -24,6 +24,8 @@
   /** Who took the claim over, if anybody did. */
   collector: string | undefined
   touchedAt: number
+  /** Kept at least until then. */
+  keepUntil: number
 }
 
 /**
@@ -31,7 +33,9 @@
  *
  * Invariant: an entry is kept for `memoryMs` after it was last touched, and
  * `memoryMs` exceeds the oldest stamp with which a start is accepted. So a
- * start that arrives after its revoke was forgotten is refused by its stamp.
+ * start that arrives after its revoke was forgotten is refused by its stamp. A
+ * submission taken over is kept for its claim's deadline as well, for its first
+ * owner may send fresh starts until then.
  */
 export class TaskLedger {
   private readonly submissions = new Map<string, SubmissionEntry>()
@@ -88,11 +92,14 @@
   /**
    * Forbids starts of a submission and sends its results to another entry.
    *
+   * @param keepMs - how long the submission must be remembered at least
    * @returns everything that was started before
    */
-  collect (workspace: string, submission: string, collector: string): TaskEntry[] {
+  collect (workspace: string, submission: string, collector: string, keepMs: number): TaskEntry[] {
     const started = this.revoke(workspace, submission, [])
-    this.touch(workspace, submission).collector = collector
+    const entry = this.touch(workspace, submission)
+    entry.collector = collector
+    entry.keepUntil = Math.max(entry.keepUntil, this.now() + keepMs)
     for (const entry of started) entry.recipient = collector
     return started
   }
@@ -112,7 +119,8 @@
     const oldest = this.now() - this.memoryMs
     for (const [key, entry] of this.submissions) {
       const isOver = [...entry.tasks.values()].every(({ result }) => result !== undefined)
-      if (isOver && entry.touchedAt < oldest) this.submissions.delete(key)
+      const isKept = entry.touchedAt >= oldest || entry.keepUntil > this.now()
+      if (isOver && !isKept) this.submissions.delete(key)
     }
   }
 
@@ -130,7 +138,8 @@
       revokedTasks: new Set(),
       revoked: false,
       collector: undefined,
-      touchedAt: 0
+      touchedAt: 0,
+      keepUntil: 0
     }
     entry.touchedAt = this.now()
     this.submissions.set(key, entry)
--- /dev/null
+++ b/scripts/runModel.js
@@ -0,0 +1,123 @@
+// Checks the protocol's specifications with SPIN, exhaustively: each must hold
+// as it stands, and must fail with any one of its guards removed.
+import { execFile, execFileSync } from 'node:child_process'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join, resolve } from 'node:path'
+import { promisify } from 'node:util'
+
+const run = promisify(execFile)
+const AT_ONCE = 3
+const MEMORY_MB = 3000
+const MAX_DEPTH = 1_000_000
+const TIME_LIMIT_MS = 300_000
+
+const define = (budget) => Object.entries(budget).map(([name, value]) => value === true ? `-D${name}` : `-D${name}=${value}`)
+
+// Budgets small enough for an exhaustive search, each with the faults that its properties are about.
+const NOTHING = { MAX_CUTS: 0, MAX_DEATHS: 0, MAX_AGENT_DEATHS: 0, MAX_FORGETS: 0, MAX_LOST_ACKS: 0 }
+const BUDGETS = {
+  claims: { ...NOTHING, NA: 1, MAX_NONCE: 2, MAX_DEATHS: 1, MAX_LOST_ACKS: 2 },
+  takeovers: { ...NOTHING, NA: 2, MAX_NONCE: 2, MAX_DEATHS: 1 },
+  rivals: { ...NOTHING, NA: 2, MAX_NONCE: 2, MAX_LOST_ACKS: 1 },
+  released: { ...NOTHING, NA: 1, MAX_NONCE: 3, MAX_LOST_ACKS: 1 },
+  sessions: { ...NOTHING, ONE_ENTRY: true, NA: 2, MAX_NONCE: 1, MAX_CUTS: 2, MAX_AGENT_DEATHS: 1, MAX_FORGETS: 1 },
+  cutTakeover: { ...NOTHING, NA: 2, MAX_NONCE: 2, MAX_CUTS: 1 },
+  memory: { ...NOTHING, NA: 1, MAX_NONCE: 2, MAX_FORGETS: 1, MAX_CUTS: 1 },
+  wholeAnswer: { ...NOTHING, NA: 1, NT: 2, MAX_NONCE: 2, MAX_DEATHS: 1 },
+  config: {}
+}
+
+const SUBMISSION = 'model/submission.pml'
+const CONFIG = 'model/config.pml'
+
+const HOLDS = [
+  { file: SUBMISSION, budget: 'claims', property: 'no task starts twice, "not run" is true, one final answer: claims with lost acknowledgements, late writes and a dead owner' },
+  { file: SUBMISSION, budget: 'takeovers', property: 'the same with two agents, a dead owner and takeovers from a live one' },
+  { file: SUBMISSION, budget: 'released', property: 'the same with a claim given up that lands late and is run by the other entry' },
+  { file: SUBMISSION, budget: 'sessions', property: 'no task starts twice: cut sessions, an agent that dies, an agent that forgets' },
+  { file: SUBMISSION, budget: 'cutTakeover', property: 'the same with a cut session and takeovers from a live owner' },
+  { file: SUBMISSION, budget: 'memory', property: 'nothing starts after a takeover was answered at an agent that it reached, however long a start is held up' },
+  { file: SUBMISSION, budget: 'wholeAnswer', property: 'an answer is complete or failed, with two tasks' },
+  { file: CONFIG, budget: 'config', property: 'what was accepted never reverts, in the table or at an entry; an operator is told the truth' }
+]
+
+const FAILS = [
+  { file: SUBMISSION, budget: 'rivals', guard: 'NO_CONDITION', without: 'the claim\'s condition (insert if absent)' },
+  { file: SUBMISSION, budget: 'rivals', guard: 'NO_WAIT_FOR_OUTCOME', without: 'waiting for the claim\'s outcome before a start' },
+  { file: SUBMISSION, budget: 'claims', guard: 'NO_RELEASE', without: 'giving up for good once "not run" was said' },
+  { file: SUBMISSION, budget: 'takeovers', guard: 'NO_COLLECT_ONLY', without: 'the rule that a takeover starts nothing' },
+  { file: SUBMISSION, budget: 'takeovers', guard: 'NO_COMMIT_BEFORE_TELLING', without: 'committing the final state before it is told' },
+  { file: SUBMISSION, budget: 'takeovers', guard: 'NO_COLLECT_REVOKES', without: 'the revoke that comes with a collect' },
+  { file: SUBMISSION, budget: 'sessions', guard: 'NO_SESSION_FENCE', without: 'the fence between sessions of a pair' },
+  { file: SUBMISSION, budget: 'sessions', guard: 'NO_HELD_CHECK', without: 'the proof that a start was not accepted' },
+  { file: SUBMISSION, budget: 'sessions', guard: 'NO_INCARNATION', without: 'the agent\'s incarnation' },
+  { file: SUBMISSION, budget: 'sessions', guard: 'NO_RESUME_WINDOW', without: 'the resume window, shorter than the agent\'s memory' },
+  { file: SUBMISSION, budget: 'memory', guard: 'NO_STAMP_CHECK', without: 'the bound on a start\'s stamp' },
+  { file: SUBMISSION, budget: 'memory', guard: 'NO_KEEP_REVOKES', without: 'keeping a revoke for the claim\'s deadline' },
+  { file: SUBMISSION, budget: 'wholeAnswer', guard: 'NO_WHOLE_ANSWER', without: 'waiting for all tasks' },
+  { file: CONFIG, budget: 'config', guard: 'NO_HEAD_CONDITION', without: 'the condition on the head\'s version' },
+  { file: CONFIG, budget: 'config', guard: 'NO_HISTORY_CHECK', without: 'the look into the history after a lost acknowledgement' },
+  { file: CONFIG, budget: 'config', guard: 'NO_HIGHER_ONLY', without: 'applying higher versions only' },
+  { file: CONFIG, budget: 'config', guard: 'NO_READ_BEFORE_READY', without: 'reading the configuration before serving' }
+]
+
+const hasSpin = () => {
+  try {
+    execFileSync('spin', ['-V'], { stdio: 'ignore' })
+    execFileSync('gcc', ['--version'], { stdio: 'ignore' })
+    return true
+  } catch {
+    return false
+  }
+}
+
+const installSpin = () => {
+  console.log('installing spin and gcc')
+  execFileSync('apt-get', ['update', '-q'], { stdio: 'ignore' })
+  execFileSync('apt-get', ['install', '-y', '-q', 'spin', 'gcc', 'libc6-dev'], { stdio: 'inherit' })
+}
+
+/** Searches all states; tells how many there were and whether an assertion failed. */
+const search = async ({ file, budget, guard }) => {
+  const folder = mkdtempSync(join(tmpdir(), 'hazellift-model-'))
+  try {
+    const defines = [...define(BUDGETS[budget]), ...(guard === undefined ? [] : [`-D${guard}`])]
+    await run('spin', [...defines, '-a', resolve(file)], { cwd: folder })
+    await run('gcc', ['-O2', '-w', '-DSAFETY', '-DCOLLAPSE', `-DMEMLIM=${MEMORY_MB}`, '-o', 'pan', 'pan.c'], { cwd: folder })
+    const { stdout } = await run('./pan', ['-E', `-m${MAX_DEPTH}`], { cwd: folder, timeout: TIME_LIMIT_MS })
+    const errors = Number(/errors: (\d+)/.exec(stdout)?.[1])
+    const states = Number(/(\d+) states, stored/.exec(stdout)?.[1])
+    const isWhole = !/Search not completed|max search depth too small|out of memory/.test(stdout)
+    return { errors, states, isWhole, detail: /pan:1: (.*) \(at/.exec(stdout)?.[1] ?? '' }
+  } finally {
+    rmSync(folder, { recursive: true })
+  }
+}
+
+const judge = (check, { errors, states, isWhole, detail }) => {
+  if (check.guard === undefined) {
+    return { isGood: errors === 0 && isWhole, line: `${check.file} ${check.budget}: ${check.property}`, states, detail }
+  }
+  return { isGood: errors > 0, line: `${check.file} ${check.budget}: fails without ${check.without}`, states, detail }
+}
+
+const checkAll = async (checks) => {
+  const waiting = [...checks]
+  let failed = 0
+  const work = async () => {
+    for (let check = waiting.shift(); check !== undefined; check = waiting.shift()) {
+      const { isGood, line, states, detail } = judge(check, await search(check))
+      if (!isGood) failed++
+      console.log(`${isGood ? 'ok  ' : 'FAIL'} ${line} (${states} states${detail === '' ? '' : `; ${detail}`})`)
+    }
+  }
+  await Promise.all(Array.from({ length: AT_ONCE }, work))
+  return failed
+}
+
+if (!hasSpin()) installSpin()
+const checks = [...HOLDS, ...FAILS]
+const failed = await checkAll(checks)
+console.log(`model: ${checks.length - failed} passed, ${failed} failed`)
+process.exitCode = failed > 0 ? 1 : 0
