The load tool: response time against the ideal, messages, processor time

Cause: decisions need figures. Change: npm run measure draws a load from a seed, sends it open loop to a deployment of separate processes and prints response times over the ideal (the longest task alone; one central queue without cost), messages by kind, waste, processor time, memory and store calls.

--- /dev/null
+++ b/packages/standins/src/measure/main.ts
@@ -0,0 +1,64 @@
+#!/usr/bin/env node
+import { writeFileSync } from 'node:fs'
+import { Command, InvalidArgumentError, Option } from 'commander'
+import { printReports } from './report.js'
+import { runTrial } from './runTrial.js'
+import { TRIAL_FAULTS } from './types.js'
+import type { TrialFault, TrialReport } from './types.js'
+
+interface Flags {
+  seed: number
+  loads: number[]
+  rules: string[]
+  seconds: number
+  entries: number
+  workers: number
+  slots: number
+  connections: number
+  workspaces: number
+  burst: number
+  maxTasks: number
+  fault: TrialFault
+  entryArgs: string
+  agentArgs: string
+  json?: string
+}
+
+const number = (text: string): number => {
+  const value = Number(text)
+  if (!Number.isFinite(value)) throw new InvalidArgumentError('must be a number')
+  return value
+}
+const numbers = (text: string): number[] => text.split(',').map(number)
+const words = (text: string): string[] => text.split(',')
+const args = (text: string): string[] => text.split(' ').filter((word) => word !== '')
+
+const flags = new Command('measure')
+  .description('Starts a deployment on loopback, loads it and prints response times and messages.')
+  .option('--seed <n>', 'seed of the load', number, 1)
+  .option('--loads <shares>', 'shares of the slots kept busy', numbers, [0.5, 0.8, 0.95])
+  .option('--rules <names>', 'dispatch rules', words, ['credits', 'random', 'two_choices'])
+  .option('--seconds <n>', 'length of each load', number, 15)
+  .option('--entries <n>', 'entries', number, 3)
+  .option('--workers <n>', 'agents with endpoints', number, 11)
+  .option('--slots <n>', 'slots of an endpoint', number, 8)
+  .option('--connections <n>', 'connections of an endpoint', number, 64)
+  .option('--workspaces <n>', 'workspaces that share the load', number, 4)
+  .option('--burst <jobs>', 'jobs of 100 tasks that one more workspace sends together, every 3 s', number, 0)
+  .option('--max-tasks <n>', 'largest job', number, 300)
+  .addOption(new Option('--fault <name>', 'caused a third into the load').choices(Object.values(TRIAL_FAULTS)).default(TRIAL_FAULTS.none))
+  .option('--entry-args <flags>', 'further flags of entries', '')
+  .option('--agent-args <flags>', 'further flags of agents', '')
+  .option('--json <file>', 'write the reports there')
+  .parse().opts<Flags>()
+
+const reports: TrialReport[] = []
+for (const share of flags.loads) {
+  for (const rule of flags.rules) {
+    reports.push(await runTrial({
+      ...flags, rule, share, slotsPerWorker: flags.slots, entryArgs: args(flags.entryArgs), agentArgs: args(flags.agentArgs)
+    }))
+  }
+}
+printReports(reports)
+if (flags.json !== undefined) writeFileSync(flags.json, JSON.stringify(reports, null, 2))
