Property tests watch for starts that an agent should have refused

Cause: with the session fence, the refusal after a takeover or the stamp check taken out, the property tests still passed: replaced sessions delivered nothing, and only double starts were looked for. Change: frames of replaced sessions arrive late; a start after its job was taken over at the agent, or with an old stamp, is a violation.

--- a/packages/coordination/tests/dispatch.test.ts
+++ b/packages/coordination/tests/dispatch.test.ts
@@ -44,6 +44,7 @@
 
 type Step =
   | { type: 'deliver', entry: number, agent: number, toAgent: boolean }
+  | { type: 'deliverLate', nth: number }
   | { type: 'cut' | 'connect', entry: number, agent: number }
   | { type: 'end', agent: number, fail: boolean }
   | { type: 'advance', ms: number }
@@ -60,6 +61,7 @@
 
 const step: fc.Arbitrary<Step> = fc.oneof(
   { weight: 12, arbitrary: fc.record({ type: fc.constant('deliver' as const), ...pair, toAgent: fc.boolean() }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('deliverLate' as const), nth: fc.nat(8) }) },
   { weight: 2, arbitrary: fc.record({ type: fc.constantFrom('cut' as const, 'connect' as const), ...pair }) },
   { weight: 4, arbitrary: fc.record({ type: fc.constant('end' as const), agent: agentIndex, fail: fc.boolean() }) },
   { weight: 2, arbitrary: fc.record({ type: fc.constant('advance' as const), ms: fc.constantFrom(10, 500, 1600, 3000, 70_000) }) },
@@ -80,6 +82,7 @@
     const { network } = this
     switch (step.type) {
       case 'deliver': return this.deliver(step)
+      case 'deliverLate': return network.replaced[step.nth]?.deliverToAgent()
       case 'cut': return network.session(network.entries[step.entry]!, network.agents[step.agent]!)?.cut()
       case 'connect': return network.connect(network.entries[step.entry]!, network.agents[step.agent]!)
       case 'end': return this.end(step.agent, step.fail)
@@ -149,6 +152,7 @@
       run.network.settle()
       await flush()
       expect(run.network.startedTwice).toEqual([])
+      expect(run.network.violations).toEqual([])
       for (const job of run.saidNotRun) expect(startedOf(run.network, job)).toEqual([])
       for (const { complete } of run.network.entries) {
         for (const job of complete) {
@@ -156,7 +160,7 @@
           expect(new Set(startedOf(run.network, job)).size).toBe(job.tasks.length)
         }
       }
-    }), { seed: 20261202, numRuns: 400 })
+    }), { seed: 20261202, numRuns: 1500 })
   })
 
   test('once everything is healed, jobs that no fault has failed complete', async () => {
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -36,6 +36,8 @@
   incarnation: number
   host: TaskHost
   running: RunningTask[]
+  /** Jobs that an entry has taken over here. */
+  collected: Set<string>
 }
 
 const SERVICE = 'service'
@@ -48,9 +50,13 @@
 export class FakeNetwork {
   readonly clock = createFakeClock()
   readonly starts: string[] = []
+  /** Starts that an agent should have refused. */
+  readonly violations: string[] = []
   readonly agents: FakeAgent[]
   readonly entries: FakeEntry[]
   readonly sessions = new Map<string, FakeSession>()
+  /** Sessions that were replaced; frames of theirs may still arrive at the agent. */
+  readonly replaced: FakeSession[] = []
   private readonly deferred: (() => void)[] = []
 
   constructor (entries: number, agents: number) {
@@ -66,7 +72,9 @@
 
   /** Opens a session; an earlier one of the pair is cut first, as a dialer does. */
   connect (entry: FakeEntry, agent: FakeAgent): void {
-    this.session(entry, agent)?.cut()
+    const before = this.session(entry, agent)
+    before?.cut()
+    if (before !== undefined) this.replaced.push(before)
     const session = this.createSession(entry, agent)
     this.sessions.set(sessionKey(entry, agent), session)
   }
@@ -134,6 +142,7 @@
 
   private createAgent (index: number, incarnation: number): FakeAgent {
     const running: RunningTask[] = []
+    const collected = new Set<string>()
     const host = new TaskHost({
       clock: this.clock,
       standingCredits: 1,
@@ -144,12 +153,14 @@
       runAttempt: (start, _endpoint, signal) => new Promise((resolve) => {
         const key = taskKey(start.key!)
         this.starts.push(key)
+        if (collected.has(key.slice(0, key.lastIndexOf('/')))) this.violations.push(`${key} started after its job was taken over`)
+        if (this.clock.now() - start.stampMs > START_AGE_MS) this.violations.push(`${key} started with an old stamp`)
         running.push({ key, end: resolve })
         signal.addEventListener('abort', () => resolve({ outcome: TASK_OUTCOMES.failed, reason: 'endpoint_reset', body: '' }))
       })
     })
     host.setEndpoint(create(EndpointStateSchema, { service: SERVICE, slots: SLOTS, address: 'x' }))
-    return { id: `agent-${index}`, incarnation, host, running }
+    return { id: `agent-${index}`, incarnation, host, running, collected }
   }
 
   private createSession (entry: FakeEntry, agent: FakeAgent): FakeSession {
@@ -180,7 +191,9 @@
       },
       deliverToAgent: () => {
         const frame = session.toAgent.shift()
-        if (frame !== undefined) host.onFrame(entry.incarnation, send, frame)
+        if (frame === undefined) return
+        host.onFrame(entry.incarnation, send, frame)
+        if (session.open) for (const { workspace, submission } of frame.collects) agent.collected.add(`${workspace}/${submission}`)
       },
       cut: () => {
         if (!session.open) return
