--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,10 +1,17 @@
 #!/usr/bin/env node
-import { addSettingsCommand, runUntilSignal } from '@hazellift/common'
+import { addSettingsCommand, parseCommand, runUntilSignal } from '@hazellift/common'
+import type { SettingFault } from '@hazellift/common'
 import { AgentSettingsSchema, describeSetting } from '@hazellift/protocol'
 import type { AgentSettings } from '@hazellift/protocol'
 import { Command } from 'commander'
 import { startAgent } from './startAgent.js'
 
+/** Faults that span settings. */
+const check = ({ sessionTimeoutMs, keepAliveMs, memoryMs, startAgeMs }: AgentSettings): SettingFault[] => [
+  ...(sessionTimeoutMs > 2 * keepAliveMs ? [] : [{ setting: '--session-timeout-ms', message: 'must be more than twice --keep-alive-ms' }]),
+  ...(memoryMs > 2 * startAgeMs ? [] : [{ setting: '--memory-ms', message: 'must be more than twice --start-age-ms' }])
+]
+
 const start = async (settings: AgentSettings): Promise<void> => {
   const agent = await startAgent(settings)
   process.stdout.write(`agent=${agent.address}\n`)
@@ -15,5 +22,5 @@
   .description('Runs beside one endpoint: grants its slots to entries and starts their tasks.')
   .version('0.1.0')
 
-addSettingsCommand(command, { schema: AgentSettingsSchema, describe: describeSetting, start })
-await command.parseAsync()
+addSettingsCommand(command, { schema: AgentSettingsSchema, describe: describeSetting, check, start })
+await parseCommand(command)
--- a/packages/coordination/src/slots/slotGranter.ts
+++ b/packages/coordination/src/slots/slotGranter.ts
@@ -108,11 +108,15 @@
     share.recalled = Math.max(0, share.recalled - credits)
   }
 
-  /** Grants what is free, to who wants it and has least, then asks idle credits back. */
-  plan (): GrantPlan {
+  /**
+   * Grants what is free, to who wants it and has least, then asks idle credits
+   * back. Standing credits are renewed only where `renews` says so: with a
+   * result, where they cost no message of their own, and when a session opens.
+   */
+  plan (renews: (entry: string) => boolean): GrantPlan {
     const grants = new Map<string, number>()
     for (let free = this.free; free > 0; free--) {
-      const entry = this.neediest()
+      const entry = this.neediest(renews)
       if (entry === undefined) break
       this.grant(entry)
       grants.set(entry, (grants.get(entry) ?? 0) + 1)
@@ -120,17 +124,17 @@
     return { grants: toChanges(grants), recalls: toChanges(this.recall()) }
   }
 
-  private neediest (): string | undefined {
+  private neediest (renews: (entry: string) => boolean): string | undefined {
     return this.leastServed(({ demand }) => demand > 0) ??
-      this.leastServed(({ granted, demand }) => demand === 0 && granted < this.standing)
+      this.leastServed(({ granted, demand }, entry) => demand === 0 && granted < this.standing && renews(entry))
   }
 
-  private leastServed (wants: (share: EntryShare) => boolean): string | undefined {
+  private leastServed (wants: (share: EntryShare, entry: string) => boolean): string | undefined {
     let best: string | undefined
     let bestUse = Infinity
     for (const [entry, share] of this.shares) {
       const use = share.granted + share.running
-      if (!wants(share) || use >= bestUse) continue
+      if (!wants(share, entry) || use >= bestUse) continue
       best = entry
       bestUse = use
     }
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -103,7 +103,7 @@
     })
     for (const result of unacked) this.addResult(incarnation, result)
     for (const entry of started) if (entry.recipient !== incarnation) this.tellTakenOver(incarnation, entry.key)
-    this.grant()
+    this.grant((entry) => entry === incarnation)
   }
 
   /** The session ended; its credits are void. Running tasks run on. */
@@ -138,7 +138,7 @@
       })
     }
     if (this.endpoint.service === '') this.refuseWaiting()
-    this.grant()
+    this.grant(() => true)
   }
 
   /** Takes no new work from now on; what runs is finished. */
@@ -258,7 +258,7 @@
     else this.ledger.finish(entry, result)
     this.deliver(entry.recipient, result)
     this.runWaiting()
-    this.grant()
+    this.grant((incarnation) => incarnation === entry.recipient)
   }
 
   private onRevoke (incarnation: string, workspace: string, submission: string, tasks: number[]): void {
@@ -318,8 +318,9 @@
     while (box.unacked.length > 0 && box.unacked[0]!.seq <= seq) box.unacked.shift()
   }
 
-  private grant (): void {
-    const { grants, recalls } = this.granter.plan()
+  /** Sends out the next credits; `renews` names the entries that hear from this agent anyway. */
+  private grant (renews: (entry: string) => boolean = () => false): void {
+    const { grants, recalls } = this.granter.plan(renews)
     for (const { entry, credits } of grants) this.sessions.get(entry)?.add((frame) => { frame.credits += credits })
     for (const { entry, credits } of recalls) this.sessions.get(entry)?.add((frame) => { frame.recall += credits })
   }
--- a/packages/entry/src/http/httpError.ts
+++ b/packages/entry/src/http/httpError.ts
@@ -16,7 +16,6 @@
 export const STATUS_OF_REASON: Partial<Record<Reason, number>> = {
   [REASONS.badRequest]: 400,
   [REASONS.badPolicy]: 400,
-  [REASONS.unknownService]: 400,
   [REASONS.unauthorized]: 401,
   [REASONS.forbidden]: 403,
   [REASONS.policyDenied]: 403,
--- a/packages/entry/src/http/jobHandlers.ts
+++ b/packages/entry/src/http/jobHandlers.ts
@@ -1,14 +1,20 @@
-import { JobSpecSchema, REASONS, TOKEN_ROLES } from '@hazellift/protocol'
+import { JobSpecSchema, REASONS, RUN_STATES, TOKEN_ROLES } from '@hazellift/protocol'
 import type { JobReply, WorkspaceConfig } from '@hazellift/coordination'
 import { authenticate } from './authenticate.js'
 import { checkJobSpec, isJobId } from './checkNames.js'
 import type { ApiContext, ApiHandler, ApiRequest } from './context.js'
 import { notRunError } from './httpError.js'
+import type { HttpError } from './httpError.js'
 import { readMessage, readMs } from './readMessage.js'
 import { sendError, sendJobReply } from './reply.js'
 
 const DEFAULT_WAIT_MS = 30_000
 
+/** Without the configuration nothing is known, not even whether the submission ran before. */
+const notReady: HttpError = {
+  reason: REASONS.notReady, message: 'this entry has not read the configuration yet', run: RUN_STATES.mayHaveRun, retryAfterMs: 1000
+}
+
 const finish = ({ metrics }: ApiContext, { res, params }: ApiRequest, id: string, reply: JobReply): void => {
   if (reply.type === 'refused') metrics.refusals.inc({ reason: reply.reason })
   sendJobReply(res, params['workspace'] ?? '', id, reply)
@@ -16,6 +22,11 @@
 
 const authenticateCaller = (context: ApiContext, request: ApiRequest): WorkspaceConfig | undefined => {
   const { watch, settings, metrics } = context
+  if (!watch.isLoaded) {
+    metrics.refusals.inc({ reason: REASONS.notReady })
+    sendError(request.res, notReady)
+    return undefined
+  }
   const auth = authenticate(request.req, watch, request.params['workspace'] ?? '', TOKEN_ROLES.caller, settings.adminToken)
   if (auth.ok) return auth.value.config
   metrics.refusals.inc({ reason: auth.err.reason })
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import { parseCommand } from '@hazellift/common'
 import { Command } from 'commander'
 import { policyCommand, workspaceCommand } from './cli/configCommands.js'
 import { entryCommand } from './cli/entryCommand.js'
@@ -15,4 +16,4 @@
   .addCommand(workspaceCommand())
   .addCommand(statusCommand())
 
-await program.parseAsync()
+await parseCommand(program)
--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -15,7 +15,6 @@
   // Admission
   notReady: 'not_ready',
   stopping: 'stopping',
-  unknownService: 'unknown_service',
   noEndpoint: 'no_endpoint',
   deadlineUnreachable: 'deadline_unreachable',
   queueFull: 'queue_full',
