Demand told is settled by credits received; standing credits reserve no slot

Change: credits received are taken off the demand told; standing credits reserve nothing, an entry sends only where it knows a free slot, and a few starts may wait at an agent.

--- a/packages/agent/src/sessions/dialEntry.ts
+++ b/packages/agent/src/sessions/dialEntry.ts
@@ -24,6 +24,11 @@
   signal: AbortSignal
 }
 
+/** The entry at the other end; its incarnation is empty until it said welcome. */
+interface Peer {
+  incarnation: string
+}
+
 const log = createLogger('agent:session')
 
 const addToken = (clusterToken: string): Interceptor => (next) => (req) => {
@@ -57,20 +62,20 @@
 }
 
 /** Fills in each frame's stamp as it leaves, so that the stamp is fresh. */
-async function * stamped (host: TaskHost, outbox: Outbox<AgentFrame>): AsyncGenerator<AgentFrame> {
+async function * stamped (host: TaskHost, outbox: Outbox<AgentFrame>, peer: Peer): AsyncGenerator<AgentFrame> {
   for await (const frame of outbox) {
-    host.stamp(frame)
+    host.stamp(peer.incarnation, frame)
     yield frame
   }
 }
 
-const openStream = (address: string, options: DialOptions, outbox: Outbox<AgentFrame>, signal: AbortSignal): AsyncIterable<EntryFrame> => {
+const openStream = (address: string, options: DialOptions, outbox: Outbox<AgentFrame>, peer: Peer, signal: AbortSignal): AsyncIterable<EntryFrame> => {
   const transport = createConnectTransport({
     baseUrl: `http://${address}`,
     httpVersion: '2',
     interceptors: [addToken(options.clusterToken)]
   })
-  return createClient(SessionService, transport).open(stamped(options.host, outbox), { signal })
+  return createClient(SessionService, transport).open(stamped(options.host, outbox, peer), { signal })
 }
 
 /**
@@ -85,17 +90,17 @@
   const add: AddToFrame = (change) => outbox.add(change)
   const watchdog = createWatchdog(options)
   const keepAlive = setInterval(() => outbox.add(() => {}), keepAliveMs)
-  let entry: string | undefined
+  const peer: Peer = { incarnation: '' }
   try {
-    for await (const frame of openStream(address, options, outbox, watchdog.signal)) {
+    for await (const frame of openStream(address, options, outbox, peer, watchdog.signal)) {
       watchdog.seen()
       if (frame.welcome !== undefined) {
-        entry = frame.welcome.incarnation
+        peer.incarnation = frame.welcome.incarnation
         log('session_open', { address, entry: frame.welcome.entryId })
-        host.openSession(entry, add)
+        host.openSession(peer.incarnation, add)
       }
       if (frame.entries !== undefined) onEntries(frame.entries.addresses)
-      if (entry !== undefined) host.onFrame(entry, add, frame)
+      if (peer.incarnation !== '') host.onFrame(peer.incarnation, add, frame)
     }
   } catch (err) {
     log('session_ended', { address, error: errorMessage(err) })
@@ -103,6 +108,6 @@
     clearInterval(keepAlive)
     watchdog.stop()
     outbox.close()
-    if (entry !== undefined) host.closeSession(entry, add)
+    if (peer.incarnation !== '') host.closeSession(peer.incarnation, add)
   }
 }
--- a/packages/agent/src/startAgent.ts
+++ b/packages/agent/src/startAgent.ts
@@ -43,7 +43,6 @@
     clock: systemClock,
     runAttempt: endpoint.run,
     standingCredits: settings.standingCredits,
-    extraCredits: settings.extraCredits,
     overflowQueue: settings.overflowQueue,
     startAgeMs: settings.startAgeMs,
     memoryMs: settings.memoryMs,
--- a/packages/coordination/src/dispatch/agentHandle.ts
+++ b/packages/coordination/src/dispatch/agentHandle.ts
@@ -31,7 +31,7 @@
   /** False until the agent told what it holds. */
   resumed: boolean
   credits: number
-  /** Slots that no entry held a credit for, as the agent said last. */
+  /** Slots to count on: as the agent said last, less the starts sent since. */
   free: number
   /** Demand that the agent was told last. */
   toldDemand: number
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -175,7 +175,7 @@
     for (const { workspace, submission, running } of frame.collected) {
       this.onCollected(agent, submissionKey(workspace, submission), running)
     }
-    if (frame.credits > 0) agent.credits += frame.credits
+    if (frame.credits > 0) this.onCredits(agent, frame.credits)
     if (frame.recall > 0) this.returnCredits(agent, frame.recall)
     // A result may lift the limit of a workspace that waits for another service.
     this.pumpAll()
@@ -245,6 +245,7 @@
     task.agentId = agent.agentId
     job.mayHaveRun++
     if (this.options.rule.needsCredit) agent.credits--
+    agent.free--
     agent.sent.set(taskKey(key), { job, task: index, sentAt: now, estimateMs })
     service.health.sent(agent.agentId)
     service.queue.charge(job.workspace, estimateMs)
@@ -431,6 +432,12 @@
     service.health.add(agent.agentId)
   }
 
+  private onCredits (agent: AgentHandle, credits: number): void {
+    agent.credits += credits
+    // The agent counts its grants against the demand that it was told, too.
+    agent.toldDemand = Math.max(0, agent.toldDemand - credits)
+  }
+
   private returnCredits (agent: AgentHandle, wanted: number): void {
     const waiting = this.services.get(agent.service)?.queue.runnable ?? 0
     const credits = waiting > 0 ? 0 : Math.min(wanted, agent.credits)
--- a/packages/coordination/src/dispatch/pickRules.ts
+++ b/packages/coordination/src/dispatch/pickRules.ts
@@ -32,9 +32,10 @@
   let best: AgentHandle | undefined
   let bestMs = Infinity
   for (const agent of agents) {
-    if (agent.credits === 0 || !context.health.maySend(agent.agentId)) continue
+    // A credit alone is no slot: where none is free, a task waits better here, under its workspace's rules.
+    if (agent.credits === 0 || agent.free <= 0 || !context.health.maySend(agent.agentId)) continue
     const ms = expectedMs(agent, context)
-    const isBetter = ms < bestMs || (ms === bestMs && agent.credits > best!.credits)
+    const isBetter = ms < bestMs || (ms === bestMs && agent.free > best!.free)
     if (!isBetter) continue
     best = agent
     bestMs = ms
--- a/packages/coordination/src/slots/slotGranter.ts
+++ b/packages/coordination/src/slots/slotGranter.ts
@@ -1,4 +1,4 @@
-/** Credits that an agent hands to one entry, and asks back from it. */
+/** Credits that an agent hands to one entry, or asks back from it. */
 export interface GrantChange {
   entry: string
   credits: number
@@ -12,7 +12,8 @@
 
 interface EntryShare {
   granted: number
-  running: number
+  /** Starts accepted and not over, whether they run or wait here. */
+  busy: number
   /** Credits wanted beyond those granted. */
   demand: number
   /** Credits asked back and not returned yet. */
@@ -20,27 +21,27 @@
 }
 
 /**
- * Divides an agent's slots between entries as credits.
+ * Divides an agent's slots between entries as credits, of two kinds. Standing
+ * credits reserve nothing: each entry keeps a few, so that its next task needs
+ * no message before it, and if all are used at once some tasks wait here for a
+ * moment. Credits beyond those are granted for demand, against free slots.
  *
- * Invariant: credits granted plus tasks accepted never exceed the slots, but
- * for the extra credits that the settings allow.
+ * Invariant: starts accepted plus credits granted never exceed the slots by
+ * more than the standing credits of all entries.
  */
 export class SlotGranter {
   private slots = 0
   private readonly shares = new Map<string, EntryShare>()
 
   /**
-   * @param standing - credits that an entry without demand keeps
-   * @param extra - credits granted beyond the slots
+   * @param standing - credits that each entry keeps
    */
-  constructor (private readonly standing: number, private readonly extra: number) {}
+  constructor (private readonly standing: number) {}
 
-  /** Slots that neither run a task nor are promised. */
-  get free (): number {
-    if (this.slots === 0) return 0
-    let used = 0
-    for (const { granted, running } of this.shares.values()) used += granted + running
-    return Math.max(0, this.slots + this.extra - used)
+  /** Slots that an entry may count on: not busy, and not reserved for another entry. */
+  freeFor (entry: string): number {
+    const own = this.shares.get(entry)
+    return Math.max(0, this.unreserved + (own === undefined ? 0 : this.reservedBy(own)))
   }
 
   /** The endpoint's slots; 0 when it left. Credits given out before are void. */
@@ -55,16 +56,16 @@
 
   /** A session opened. Tasks that still run for the entry count on. */
   addEntry (entry: string): void {
-    const running = this.shares.get(entry)?.running ?? 0
-    this.shares.set(entry, { granted: 0, running, demand: 0, recalled: 0 })
+    const busy = this.shares.get(entry)?.busy ?? 0
+    this.shares.set(entry, { granted: 0, busy, demand: 0, recalled: 0 })
   }
 
   /** A session ended: its unused credits are taken back at once. */
   removeEntry (entry: string): void {
     const share = this.shares.get(entry)
     if (share === undefined) return
-    if (share.running === 0) this.shares.delete(entry)
-    else this.shares.set(entry, { granted: 0, running: share.running, demand: 0, recalled: 0 })
+    if (share.busy === 0) this.shares.delete(entry)
+    else this.shares.set(entry, { granted: 0, busy: share.busy, demand: 0, recalled: 0 })
   }
 
   /** Credits that the entry wants beyond those it holds. */
@@ -82,22 +83,22 @@
     const share = this.shares.get(entry)
     if (share === undefined || share.granted === 0) return false
     share.granted--
-    share.running++
+    share.busy++
     // A credit that was asked back and used instead is settled.
-    share.recalled = Math.min(share.recalled, share.granted)
+    share.recalled = Math.min(share.recalled, this.reservedBy(share))
     return true
   }
 
   /** A start without a credit is accepted all the same (baselines only). */
   acceptOverflow (entry: string): void {
     const share = this.shares.get(entry)
-    if (share !== undefined) share.running++
+    if (share !== undefined) share.busy++
   }
 
   /** An accepted start is over. */
   release (entry: string): void {
     const share = this.shares.get(entry)
-    if (share !== undefined && share.running > 0) share.running--
+    if (share !== undefined && share.busy > 0) share.busy--
   }
 
   /** The entry gave credits back unused. */
@@ -109,49 +110,65 @@
   }
 
   /**
-   * Grants what is free, to who wants it and has least, then asks idle credits
-   * back. Standing credits are renewed only where `renews` says so: with a
-   * result, where they cost no message of their own, and when a session opens.
+   * Renews standing credits and meets demand from free slots, least served
+   * first; then asks reserved but idle credits back for demand that is left.
+   *
+   * @param renews - true for entries that hear from this agent anyway: a
+   *   renewal costs no message of its own
    */
   plan (renews: (entry: string) => boolean): GrantPlan {
     const grants = new Map<string, number>()
-    for (let free = this.free; free > 0; free--) {
-      const entry = this.neediest(renews)
+    const add = (entry: string, credits: number) => grants.set(entry, (grants.get(entry) ?? 0) + credits)
+    if (this.slots > 0) this.renew(renews, add)
+    for (let free = this.unreserved; free > 0; free--) {
+      const entry = this.leastServed()
       if (entry === undefined) break
-      this.grant(entry)
-      grants.set(entry, (grants.get(entry) ?? 0) + 1)
+      const share = this.shares.get(entry)!
+      share.granted++
+      share.demand--
+      add(entry, 1)
     }
     return { grants: toChanges(grants), recalls: toChanges(this.recall()) }
   }
 
-  private neediest (renews: (entry: string) => boolean): string | undefined {
-    return this.leastServed(({ demand }) => demand > 0) ??
-      this.leastServed(({ granted, demand }, entry) => demand === 0 && granted < this.standing && renews(entry))
+  /** Slots that are neither busy nor reserved by credits beyond the standing ones. */
+  private get unreserved (): number {
+    let used = 0
+    for (const share of this.shares.values()) used += share.busy + this.reservedBy(share)
+    return this.slots - used
+  }
+
+  private reservedBy ({ granted }: EntryShare): number {
+    return Math.max(0, granted - this.standing)
+  }
+
+  private renew (renews: (entry: string) => boolean, add: (entry: string, credits: number) => void): void {
+    for (const [entry, share] of this.shares) {
+      const missing = this.standing - share.granted
+      if (missing <= 0 || !renews(entry)) continue
+      share.granted += missing
+      share.demand = Math.max(0, share.demand - missing)
+      add(entry, missing)
+    }
   }
 
-  private leastServed (wants: (share: EntryShare, entry: string) => boolean): string | undefined {
+  private leastServed (): string | undefined {
     let best: string | undefined
     let bestUse = Infinity
-    for (const [entry, share] of this.shares) {
-      const use = share.granted + share.running
-      if (!wants(share, entry) || use >= bestUse) continue
+    for (const [entry, { granted, busy, demand }] of this.shares) {
+      const use = granted + busy
+      if (demand === 0 || use >= bestUse) continue
       best = entry
       bestUse = use
     }
     return best
   }
 
-  private grant (entry: string): void {
-    const share = this.shares.get(entry)!
-    share.granted++
-    if (share.demand > 0) share.demand--
-  }
-
   private recall (): Map<string, number> {
     const recalls = new Map<string, number>()
     let wanted = this.unmetDemand()
     for (const [entry, share] of this.shares) {
-      const idle = share.demand > 0 ? 0 : share.granted - share.recalled
+      const idle = share.demand > 0 ? 0 : this.reservedBy(share) - share.recalled
       const credits = Math.min(wanted, idle)
       if (credits <= 0) continue
       share.recalled += credits
@@ -161,7 +178,7 @@
     return recalls
   }
 
-  /** Demand that neither free slots nor credits already asked back will meet. */
+  /** Demand that credits already asked back will not meet. */
   private unmetDemand (): number {
     let unmet = 0
     for (const { demand, recalled } of this.shares.values()) unmet += demand - recalled
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -23,8 +23,8 @@
 export interface TaskHostOptions {
   clock: Clock
   runAttempt: RunAttempt
+  /** Credits that each entry keeps beyond the slots. */
   standingCredits: number
-  extraCredits: number
   /** Starts accepted without a credit; they wait for a slot. */
   overflowQueue: number
   /** Oldest stamp with which a start is accepted, in ms. */
@@ -69,9 +69,9 @@
   private leaving = false
 
   constructor (private readonly options: TaskHostOptions) {
-    const { clock, memoryMs, standingCredits, extraCredits } = options
+    const { clock, memoryMs, standingCredits } = options
     this.ledger = new TaskLedger(memoryMs, clock.now)
-    this.granter = new SlotGranter(standingCredits, extraCredits)
+    this.granter = new SlotGranter(standingCredits)
   }
 
   /** Tasks that run or wait here. */
@@ -176,9 +176,9 @@
   }
 
   /** Fills in what every frame carries. */
-  stamp (frame: AgentFrame): void {
+  stamp (incarnation: string, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
-    frame.free = this.granter.free
+    frame.free = this.granter.freeFor(incarnation)
   }
 
   private onStart (incarnation: string, start: Start): void {
@@ -226,7 +226,7 @@
   }
 
   private runWaiting (): void {
-    // Extra credits and overflow wait here; never more than the slots run at once.
+    // Never more than the slots run at once; what standing credits brought beyond that waits.
     while (this.waiting.length > 0 && this.running < this.endpoint.slots) void this.run(this.waiting.shift()!)
   }
 
--- a/packages/coordination/tests/dispatch.test.ts
+++ b/packages/coordination/tests/dispatch.test.ts
@@ -73,11 +73,15 @@
 
 /** Jobs of one run with who owns them. */
 class Run {
-  readonly network = new FakeNetwork(ENTRIES, AGENTS)
+  readonly network: FakeNetwork
   readonly jobs: { job: Job, entry: number }[] = []
   /** Started tasks of a job at the moment that it was said not to have run. */
   readonly saidNotRun: Job[] = []
 
+  constructor (agents = AGENTS) {
+    this.network = new FakeNetwork(ENTRIES, agents)
+  }
+
   async apply (step: Step): Promise<void> {
     const { network } = this
     switch (step.type) {
@@ -143,6 +147,16 @@
   }
 }
 
+/** Delivers all frames and ends all tasks until nothing moves; gives the keys of complete jobs. */
+const completeAll = async ({ network }: Run): Promise<string[]> => {
+  for (let round = 0; round < 150; round++) {
+    network.settle()
+    for (const { running } of network.agents) for (const task of running.splice(0)) task.end(DONE)
+    await flush()
+  }
+  return network.entries.flatMap(({ complete }) => complete.map(({ key }) => key)).sort()
+}
+
 describe('any order of frames, cuts, pauses, restarts and takeovers', () => {
   test('starts no task twice, completes whole jobs only, and "not run" stays true', async () => {
     await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 20, maxLength: 150 }), async (steps) => {
@@ -163,19 +177,32 @@
     }), { seed: 20261202, numRuns: 1500 })
   })
 
+  test('without faults, every job completes whatever the order of frames', async () => {
+    const quiet = step.filter(({ type }) => ['deliver', 'end', 'submit'].includes(type))
+    await fc.assert(fc.asyncProperty(fc.array(quiet, { maxLength: 100 }), async (steps) => {
+      const run = new Run()
+      run.network.settle()
+      for (const each of steps) await run.apply(each.type === 'end' ? { ...each, fail: false } : each)
+      expect(await completeAll(run)).toEqual(run.jobs.map(({ job }) => job.key).sort())
+    }), { seed: 20261202, numRuns: 300 })
+  })
+
+  test('entries that need all slots in turn each get them, round after round', async () => {
+    const run = new Run(4)
+    run.network.settle()
+    for (let round = 0; round < 20; round++) {
+      await run.apply({ type: 'submit', entry: round % ENTRIES, tasks: round % ENTRIES === 0 ? 24 : 1 })
+      expect(await completeAll(run)).toEqual(run.jobs.map(({ job }) => job.key).sort())
+    }
+  })
+
   test('once everything is healed, jobs that no fault has failed complete', async () => {
     await fc.assert(fc.asyncProperty(fc.array(step.filter(({ type }) => !['drop', 'takeOver', 'restart', 'advance'].includes(type)), { maxLength: 80 }), async (steps) => {
       const run = new Run()
       run.network.settle()
       for (const each of steps) await run.apply(each.type === 'end' ? { ...each, fail: false } : each)
       for (const entry of run.network.entries) for (const agent of run.network.agents) run.network.connect(entry, agent)
-      for (let round = 0; round < 60; round++) {
-        run.network.settle()
-        for (const { running } of run.network.agents) for (const task of running.splice(0)) task.end(DONE)
-        await flush()
-      }
-      const complete = run.network.entries.flatMap((entry) => entry.complete.map(({ key }) => key))
-      expect(complete.sort()).toEqual(run.jobs.map(({ job }) => job.key).sort())
+      expect(await completeAll(run)).toEqual(run.jobs.map(({ job }) => job.key).sort())
       expect(run.network.startedTwice).toEqual([])
     }), { seed: 20261202, numRuns: 200 })
   })
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -146,7 +146,6 @@
     const host = new TaskHost({
       clock: this.clock,
       standingCredits: 1,
-      extraCredits: 0,
       overflowQueue: 0,
       startAgeMs: START_AGE_MS,
       memoryMs: MEMORY_MS,
@@ -169,7 +168,7 @@
     const send = (add: (frame: AgentFrame) => void): void => {
       const frame = create(AgentFrameSchema)
       add(frame)
-      host.stamp(frame)
+      host.stamp(entry.incarnation, frame)
       if (session.open) session.toEntry.push(frame)
     }
     const link: AgentLink = {
