Demand goes first to agents known to have free slots; the hearing entry is preferred

Cause: two agents were asked for every waiting task, and freed slots changed hands between entries served alike, each time with a grant of its own. Change: ask for known free slots first, then all agents; the entry that a result goes to may be two credits ahead.

--- a/packages/coordination/src/dispatch/demand.ts
+++ b/packages/coordination/src/dispatch/demand.ts
@@ -1,29 +1,35 @@
 import type { AgentHandle } from './agentHandle.js'
 
-/** Agents asked even for a single waiting task, as the first may have no slot free. */
-const MIN_ASKED = 2
-
 const tell = (agent: AgentHandle, demand: number): void => {
   agent.toldDemand = demand
   agent.link?.add((frame) => { frame.demand = demand })
 }
 
+/** Asks agents for the free slots that they are known to have; gives what remains to ask for. */
+const askForFree = (agents: AgentHandle[], waiting: number): number => {
+  let rest = waiting
+  for (const agent of [...agents].sort((a, b) => b.free - a.free)) {
+    const asked = Math.min(rest, Math.max(0, agent.free - agent.credits))
+    if (asked > 0 && agent.toldDemand === 0) tell(agent, asked)
+    rest -= Math.max(asked, Math.min(rest, agent.toldDemand))
+  }
+  return rest
+}
+
 /**
- * Tells agents how many credits this entry wants. A message goes out only
- * where an agent's last word is off by so much that it would misjudge: from
- * nothing to something. Lesser changes travel with starts.
+ * Tells agents how many credits this entry wants: first those known to have
+ * free slots, then all alike, for whatever becomes free first. A message goes
+ * out only to agents that were told nothing; lesser changes travel with starts.
  *
  * @param agents - those that take new work
  * @param waiting - tasks that wait for a credit
  */
 export const spreadDemand = (agents: AgentHandle[], waiting: number): void => {
-  if (waiting === 0 || agents.length === 0) return
-  const asked = Math.min(agents.length, Math.max(waiting, MIN_ASKED))
-  const share = Math.ceil(waiting / asked)
-  const byFree = [...agents].sort((a, b) => b.free - a.free || b.slots - a.slots)
-  for (const agent of byFree.slice(0, asked)) {
-    if (agent.toldDemand === 0) tell(agent, share)
-  }
+  const rest = askForFree(agents, waiting)
+  if (rest === 0) return
+  const untold = agents.filter(({ toldDemand }) => toldDemand === 0)
+  const share = Math.ceil(rest / Math.max(1, untold.length))
+  for (const agent of untold.slice(0, rest)) tell(agent, share)
 }
 
 /**
--- a/packages/coordination/src/slots/slotGranter.ts
+++ b/packages/coordination/src/slots/slotGranter.ts
@@ -115,13 +115,15 @@
    *
    * @param renews - true for entries that hear from this agent anyway: a
    *   renewal costs no message of its own
+   * @param hears - the entry that a result goes to now; between entries served
+   *   about alike it is preferred, as its credit travels with the result
    */
-  plan (renews: (entry: string) => boolean): GrantPlan {
+  plan (renews: (entry: string) => boolean, hears?: string): GrantPlan {
     const grants = new Map<string, number>()
     const add = (entry: string, credits: number) => grants.set(entry, (grants.get(entry) ?? 0) + credits)
     if (this.slots > 0) this.renew(renews, add)
     for (let free = this.unreserved; free > 0; free--) {
-      const entry = this.leastServed()
+      const entry = this.leastServed(hears)
       if (entry === undefined) break
       const share = this.shares.get(entry)!
       share.granted++
@@ -152,11 +154,11 @@
     }
   }
 
-  private leastServed (): string | undefined {
+  private leastServed (hears: string | undefined): string | undefined {
     let best: string | undefined
     let bestUse = Infinity
     for (const [entry, { granted, busy, demand }] of this.shares) {
-      const use = granted + busy
+      const use = granted + busy - (entry === hears ? HEARING_BONUS : 0)
       if (demand === 0 || use >= bestUse) continue
       best = entry
       bestUse = use
@@ -186,5 +188,8 @@
   }
 }
 
+/** By how many credits the entry that hears from the agent anyway may be ahead of the others. */
+const HEARING_BONUS = 2
+
 const toChanges = (credits: Map<string, number>): GrantChange[] =>
   [...credits].map(([entry, count]) => ({ entry, credits: count }))
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -258,7 +258,7 @@
     else this.ledger.finish(entry, result)
     this.deliver(entry.recipient, result)
     this.runWaiting()
-    this.grant((incarnation) => incarnation === entry.recipient)
+    this.grant((incarnation) => incarnation === entry.recipient, entry.recipient)
   }
 
   private onRevoke (incarnation: string, workspace: string, submission: string, tasks: number[]): void {
@@ -319,8 +319,8 @@
   }
 
   /** Sends out the next credits; `renews` names the entries that hear from this agent anyway. */
-  private grant (renews: (entry: string) => boolean = () => false): void {
-    const { grants, recalls } = this.granter.plan(renews)
+  private grant (renews: (entry: string) => boolean = () => false, hears?: string): void {
+    const { grants, recalls } = this.granter.plan(renews, hears)
     for (const { entry, credits } of grants) this.sessions.get(entry)?.add((frame) => { frame.credits += credits })
     for (const { entry, credits } of recalls) this.sessions.get(entry)?.add((frame) => { frame.recall += credits })
   }
