Entries give excess credits back at once; agents recall none

Change: an entry without waiting tasks returns what it holds beyond the standing credits; recall is gone from the protocol. Waste now counts a return with its grant as two messages.

--- a/packages/coordination/src/dispatch/agentHandle.ts
+++ b/packages/coordination/src/dispatch/agentHandle.ts
@@ -31,6 +31,8 @@
   /** False until the agent told what it holds. */
   resumed: boolean
   credits: number
+  /** Credits kept while no task waits. */
+  standingCredits: number
   /** Slots to count on: as the agent said last, less the starts sent since. */
   free: number
   /** Demand that the agent was told last. */
@@ -61,6 +63,7 @@
   link: undefined,
   resumed: false,
   credits: 0,
+  standingCredits: 0,
   free: 0,
   toldDemand: 0,
   stampMs: 0,
--- a/packages/coordination/src/dispatch/demand.ts
+++ b/packages/coordination/src/dispatch/demand.ts
@@ -43,3 +43,18 @@
   const share = Math.ceil(waiting / Math.max(1, agentCount))
   if (share !== agent.toldDemand) tell(agent, share)
 }
+
+/**
+ * Gives back credits that reserve slots which this entry has no task for.
+ *
+ * @param agents - those that take new work
+ */
+export const returnExcess = (agents: AgentHandle[]): void => {
+  for (const agent of agents) {
+    const excess = agent.credits - agent.standingCredits
+    if (excess <= 0) continue
+    agent.credits -= excess
+    agent.link?.add((frame) => { frame.returnedCredits += excess })
+    if (agent.toldDemand > 0) tell(agent, 0)
+  }
+}
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,14 +1,14 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock, Random } from '@hazellift/common'
 import { CollectSchema, REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES } from '@hazellift/protocol'
-import type { AgentFrame, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
+import type { AgentFrame, EndpointState, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
 import { TASK_STATES, isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
 import type { JobOrder } from '../queue/fairQueue.js'
 import { submissionKey, taskKey } from '../tasks/keys.js'
 import { createAgentHandle } from './agentHandle.js'
 import type { AgentHandle, AgentLink, SentTask } from './agentHandle.js'
-import { refreshDemand, spreadDemand } from './demand.js'
+import { refreshDemand, returnExcess, spreadDemand } from './demand.js'
 import type { PickRule } from './pickRules.js'
 import { ServiceState } from './serviceState.js'
 
@@ -176,7 +176,6 @@
       this.onCollected(agent, submissionKey(workspace, submission), running)
     }
     if (frame.credits > 0) this.onCredits(agent, frame.credits)
-    if (frame.recall > 0) this.returnCredits(agent, frame.recall)
     // A result may lift the limit of a workspace that waits for another service.
     this.pumpAll()
   }
@@ -216,7 +215,6 @@
   }
 
   private pump (service: ServiceState): void {
-    if (service.queue.size === 0) return
     const { rule, zone, random } = this.options
     const agents = service.open
     const context = { zone, random, health: service.health }
@@ -232,7 +230,8 @@
     if (!rule.needsCredit) return
     const waiting = service.queue.runnable
     for (const agent of used) refreshDemand(agent, waiting, agents.length)
-    spreadDemand(agents.filter(({ agentId }) => service.health.maySend(agentId)), waiting)
+    if (waiting === 0) returnExcess(agents)
+    else spreadDemand(agents.filter(({ agentId }) => service.health.maySend(agentId)), waiting)
   }
 
   private send (service: ServiceState, agent: AgentHandle, job: Job, index: number): void {
@@ -406,11 +405,12 @@
     this.options.events.failed(job, REASONS.agentLost, `agent ${agent.agentId} was lost with a task in its hands`)
   }
 
-  private setEndpoint (agent: AgentHandle, { service, slots, address }: { service: string, slots: number, address: string }): void {
+  private setEndpoint (agent: AgentHandle, { service, slots, address, standingCredits }: EndpointState): void {
     // Credits for the endpoint's earlier state are void at the agent, too.
     agent.credits = 0
     agent.toldDemand = 0
     agent.slots = slots
+    agent.standingCredits = standingCredits
     agent.address = address
     this.setService(agent, service)
   }
@@ -436,13 +436,7 @@
     agent.credits += credits
     // The agent counts its grants against the demand that it was told, too.
     agent.toldDemand = Math.max(0, agent.toldDemand - credits)
-  }
-
-  private returnCredits (agent: AgentHandle, wanted: number): void {
-    const waiting = this.services.get(agent.service)?.queue.runnable ?? 0
-    const credits = waiting > 0 ? 0 : Math.min(wanted, agent.credits)
-    if (credits === 0) return
-    agent.credits -= credits
-    agent.link?.add((frame) => { frame.returnedCredits += credits })
+    const service = this.services.get(agent.service)
+    if (service !== undefined) this.schedulePump(service)
   }
 }
--- a/packages/coordination/src/slots/slotGranter.ts
+++ b/packages/coordination/src/slots/slotGranter.ts
@@ -1,30 +1,26 @@
-/** Credits that an agent hands to one entry, or asks back from it. */
+/** Credits that an agent hands to one entry. */
 export interface GrantChange {
   entry: string
   credits: number
 }
 
-/** What the next frames must carry. */
-export interface GrantPlan {
-  grants: GrantChange[]
-  recalls: GrantChange[]
-}
-
 interface EntryShare {
   granted: number
   /** Starts accepted and not over, whether they run or wait here. */
   busy: number
   /** Credits wanted beyond those granted. */
   demand: number
-  /** Credits asked back and not returned yet. */
-  recalled: number
 }
 
+/** By how many credits the entry that hears from the agent anyway may be ahead of the others. */
+const HEARING_BONUS = 2
+
 /**
  * Divides an agent's slots between entries as credits, of two kinds. Standing
  * credits reserve nothing: each entry keeps a few, so that its next task needs
  * no message before it, and if all are used at once some tasks wait here for a
- * moment. Credits beyond those are granted for demand, against free slots.
+ * moment. Credits beyond those are granted for demand, against free slots, and
+ * an entry gives them back as soon as it has no task for them.
  *
  * Invariant: starts accepted plus credits granted never exceed the slots by
  * more than the standing credits of all entries.
@@ -50,14 +46,13 @@
     for (const share of this.shares.values()) {
       share.granted = 0
       share.demand = 0
-      share.recalled = 0
     }
   }
 
   /** A session opened. Tasks that still run for the entry count on. */
   addEntry (entry: string): void {
     const busy = this.shares.get(entry)?.busy ?? 0
-    this.shares.set(entry, { granted: 0, busy, demand: 0, recalled: 0 })
+    this.shares.set(entry, { granted: 0, busy, demand: 0 })
   }
 
   /** A session ended: its unused credits are taken back at once. */
@@ -65,7 +60,7 @@
     const share = this.shares.get(entry)
     if (share === undefined) return
     if (share.busy === 0) this.shares.delete(entry)
-    else this.shares.set(entry, { granted: 0, busy: share.busy, demand: 0, recalled: 0 })
+    else this.shares.set(entry, { granted: 0, busy: share.busy, demand: 0 })
   }
 
   /** Credits that the entry wants beyond those it holds. */
@@ -84,8 +79,6 @@
     if (share === undefined || share.granted === 0) return false
     share.granted--
     share.busy++
-    // A credit that was asked back and used instead is settled.
-    share.recalled = Math.min(share.recalled, this.reservedBy(share))
     return true
   }
 
@@ -104,21 +97,19 @@
   /** The entry gave credits back unused. */
   returned (entry: string, credits: number): void {
     const share = this.shares.get(entry)
-    if (share === undefined) return
-    share.granted = Math.max(0, share.granted - credits)
-    share.recalled = Math.max(0, share.recalled - credits)
+    if (share !== undefined) share.granted = Math.max(0, share.granted - credits)
   }
 
   /**
    * Renews standing credits and meets demand from free slots, least served
-   * first; then asks reserved but idle credits back for demand that is left.
+   * first.
    *
    * @param renews - true for entries that hear from this agent anyway: a
    *   renewal costs no message of its own
    * @param hears - the entry that a result goes to now; between entries served
    *   about alike it is preferred, as its credit travels with the result
    */
-  plan (renews: (entry: string) => boolean, hears?: string): GrantPlan {
+  plan (renews: (entry: string) => boolean, hears?: string): GrantChange[] {
     const grants = new Map<string, number>()
     const add = (entry: string, credits: number) => grants.set(entry, (grants.get(entry) ?? 0) + credits)
     if (this.slots > 0) this.renew(renews, add)
@@ -130,7 +121,7 @@
       share.demand--
       add(entry, 1)
     }
-    return { grants: toChanges(grants), recalls: toChanges(this.recall()) }
+    return [...grants].map(([entry, credits]) => ({ entry, credits }))
   }
 
   /** Slots that are neither busy nor reserved by credits beyond the standing ones. */
@@ -165,31 +156,4 @@
     }
     return best
   }
-
-  private recall (): Map<string, number> {
-    const recalls = new Map<string, number>()
-    let wanted = this.unmetDemand()
-    for (const [entry, share] of this.shares) {
-      const idle = share.demand > 0 ? 0 : this.reservedBy(share) - share.recalled
-      const credits = Math.min(wanted, idle)
-      if (credits <= 0) continue
-      share.recalled += credits
-      wanted -= credits
-      recalls.set(entry, credits)
-    }
-    return recalls
-  }
-
-  /** Demand that credits already asked back will not meet. */
-  private unmetDemand (): number {
-    let unmet = 0
-    for (const { demand, recalled } of this.shares.values()) unmet += demand - recalled
-    return unmet
-  }
 }
-
-/** By how many credits the entry that hears from the agent anyway may be ahead of the others. */
-const HEARING_BONUS = 2
-
-const toChanges = (credits: Map<string, number>): GrantChange[] =>
-  [...credits].map(([entry, count]) => ({ entry, credits: count }))
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -129,7 +129,7 @@
 
   /** The endpoint announced itself, changed or left (no service). */
   setEndpoint (endpoint: EndpointState | undefined): void {
-    this.endpoint = endpoint ?? NO_ENDPOINT
+    this.endpoint = endpoint === undefined ? NO_ENDPOINT : { ...endpoint, standingCredits: this.options.standingCredits }
     this.granter.setSlots(this.leaving ? 0 : this.endpoint.slots)
     for (const { add } of this.sessions.values()) {
       add((frame) => {
@@ -320,8 +320,8 @@
 
   /** Sends out the next credits; `renews` names the entries that hear from this agent anyway. */
   private grant (renews: (entry: string) => boolean = () => false, hears?: string): void {
-    const { grants, recalls } = this.granter.plan(renews, hears)
-    for (const { entry, credits } of grants) this.sessions.get(entry)?.add((frame) => { frame.credits += credits })
-    for (const { entry, credits } of recalls) this.sessions.get(entry)?.add((frame) => { frame.recall += credits })
+    for (const { entry, credits } of this.granter.plan(renews, hears)) {
+      this.sessions.get(entry)?.add((frame) => { frame.credits += credits })
+    }
   }
 }
--- a/packages/entry/src/operations/countMessages.ts
+++ b/packages/entry/src/operations/countMessages.ts
@@ -9,7 +9,6 @@
   grant: 'grant',
   /** A frame of its own that only tells demand. */
   demand: 'demand',
-  recall: 'recall',
   return: 'return',
   revoke: 'revoke',
   collect: 'collect',
@@ -26,8 +25,7 @@
   metrics.frames.inc({ direction: 'in' })
   count(metrics, MESSAGE_KINDS.result, frame.results.length)
   count(metrics, MESSAGE_KINDS.collect, frame.collected.length)
-  count(metrics, MESSAGE_KINDS.recall, frame.recall > 0 ? 1 : 0)
-  const hasOther = frame.results.length + frame.collected.length + frame.recall > 0 || frame.hello !== undefined || frame.resume !== undefined
+  const hasOther = frame.results.length + frame.collected.length > 0 || frame.hello !== undefined || frame.resume !== undefined
   if (hasOther) return
   count(metrics, frame.credits > 0 ? MESSAGE_KINDS.grant : MESSAGE_KINDS.keepAlive, 1)
 }
--- a/packages/standins/src/measure/report.ts
+++ b/packages/standins/src/measure/report.ts
@@ -39,10 +39,10 @@
 const memoryMb = (scrapes: Scrape[]): number =>
   Math.max(...scrapes.map((metrics) => total(metrics, 'process_resident_memory_bytes'))) / 1e6
 
-/** Starts that were for nothing cost two messages; recalls and returns moved credits nobody used. */
+/** Starts that were for nothing cost two messages, and so do credits that came for nothing: the grant and the return. */
 const wastedMessages = (kinds: Record<string, number>, reasons: Record<string, number>): number => {
   const starts = Object.values(reasons).reduce((sum, count) => sum + count, 0)
-  return 2 * starts + (kinds['recall'] ?? 0) + (kinds['return'] ?? 0)
+  return 2 * (starts + (kinds['return'] ?? 0))
 }
 
 const responseReport = (outcomes: JobOutcome[], slots: number) => {
