Small jobs go first with aging; demand is rounded down

Change: jobs of equal priority are ordered by arrival plus 100 ms for each waiting task, so a small job passes a large one, but none is passed over for ever; the entry that a result goes to may be three credits ahead; demand that travels with starts is rounded down.

--- a/packages/coordination/src/dispatch/demand.ts
+++ b/packages/coordination/src/dispatch/demand.ts
@@ -40,7 +40,7 @@
  * @param agentCount - agents that share the demand
  */
 export const refreshDemand = (agent: AgentHandle, waiting: number, agentCount: number): void => {
-  const share = Math.ceil(waiting / Math.max(1, agentCount))
+  const share = Math.floor(waiting / Math.max(1, agentCount))
   if (share !== agent.toldDemand) tell(agent, share)
 }
 
--- a/packages/coordination/src/queue/fairQueue.ts
+++ b/packages/coordination/src/queue/fairQueue.ts
@@ -3,10 +3,16 @@
 /** Compares two jobs of a workspace; negative if the first goes first. */
 export type JobOrder = (a: Job, b: Job) => number
 
+/** How much later a job may come, for each task that it is smaller, and still go first, in ms. */
+const HEAD_START_MS_PER_TASK = 100
+
+const agedSize = ({ arrivedAt, queue }: Job): number => arrivedAt + queue.length * HEAD_START_MS_PER_TASK
+
 /** Orders of jobs with equal priority. */
 export const JOB_ORDERS = {
   arrival: (a: Job, b: Job) => a.arrivedAt - b.arrivedAt,
-  least_remaining: (a: Job, b: Job) => a.queue.length - b.queue.length || a.arrivedAt - b.arrivedAt
+  /** Few waiting tasks first, but no job is passed over for ever. */
+  least_remaining: (a: Job, b: Job) => agedSize(a) - agedSize(b)
 } as const satisfies Record<string, JobOrder>
 
 interface WorkspaceQueue {
--- a/packages/coordination/src/slots/slotGranter.ts
+++ b/packages/coordination/src/slots/slotGranter.ts
@@ -13,7 +13,7 @@
 }
 
 /** By how many credits the entry that hears from the agent anyway may be ahead of the others. */
-const HEARING_BONUS = 2
+const HEARING_BONUS = 3
 
 /**
  * Divides an agent's slots between entries as credits, of two kinds. Standing
