--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock, Random } from '@hazellift/common'
-import { CollectSchema, REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES } from '@hazellift/protocol'
+import { REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
 import { TASK_STATES, isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
@@ -9,8 +9,11 @@
 import { createAgentHandle } from './agentHandle.js'
 import type { AgentHandle, AgentLink, SentTask } from './agentHandle.js'
 import { refreshDemand, returnExcess, spreadDemand } from './demand.js'
+import { InFlight } from './inFlight.js'
 import type { PickRule } from './pickRules.js'
+import { ServiceRegistry } from './serviceRegistry.js'
 import { ServiceState } from './serviceState.js'
+import { Takeovers } from './takeovers.js'
 
 /** What the dispatcher tells the owner of the jobs. */
 export interface DispatchEvents {
@@ -60,12 +63,26 @@
  * result, by proof that its start was not accepted, or with its job's failure.
  */
 export class Dispatcher {
-  private readonly services = new Map<string, ServiceState>()
+  private readonly services: ServiceRegistry
   private readonly agents = new Map<string, AgentHandle>()
   private readonly jobs = new Map<string, Job>()
-  private readonly runningOf = new Map<string, number>()
+  private readonly inFlight = new InFlight()
+  private readonly takeovers: Takeovers
 
-  constructor (private readonly options: DispatcherOptions) {}
+  constructor (private readonly options: DispatcherOptions) {
+    const { order, weightOf, maxRunningOf, clock, setAsideShare, setAsideBackoff, collectTimeoutMs, events } = options
+    const mayRun = (workspace: string) => this.runningTasks(workspace) < maxRunningOf(workspace)
+    this.services = new ServiceRegistry(() => new ServiceState(
+      { order, weightOf, mayRun },
+      { now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff }))
+    this.takeovers = new Takeovers({
+      clock,
+      inFlight: this.inFlight,
+      collectTimeoutMs,
+      isOpen: ({ key }) => this.jobs.has(key),
+      onMissing: (job) => events.failed(job, REASONS.ownerLost, 'the owner was lost and no agent reached knows all tasks')
+    })
+  }
 
   /** All agents known, with a session or waiting for one to resume. */
   get knownAgents (): AgentHandle[] {
@@ -79,33 +96,33 @@
 
   /** The state of a service, if an endpoint or a job ever named it. */
   service (name: string): ServiceState | undefined {
-    return this.services.get(name)
+    return this.services.find(name)
   }
 
   /** Services with endpoints or queued tasks. */
   get serviceNames (): string[] {
-    return [...this.services.keys()]
+    return this.services.names
   }
 
   /** Tasks of a workspace in flight from this entry. */
   runningTasks (workspace: string): number {
-    return this.runningOf.get(workspace) ?? 0
+    return this.inFlight.countOf(workspace)
   }
 
   /** Tasks of a workspace that wait at this entry. */
   queuedTasks (workspace: string): number {
-    return [...this.services.values()].reduce((sum, { queue }) => sum + queue.queuedOf(workspace), 0)
+    return this.services.queuedOf(workspace)
   }
 
   /** Tasks of all workspaces that wait at this entry. */
   get queuedTotal (): number {
-    return [...this.services.values()].reduce((sum, { queue }) => sum + queue.size, 0)
+    return this.services.queuedTotal
   }
 
   /** Starts the tasks of a job that this entry owns. */
   add (job: Job): void {
     this.jobs.set(job.key, job)
-    const service = this.serviceOf(job.service)
+    const service = this.services.of(job.service)
     service.queue.add(job)
     this.schedulePump(service)
   }
@@ -117,12 +134,7 @@
    */
   collect (job: Job, keepMs: number): void {
     this.jobs.set(job.key, job)
-    const open = this.knownAgents.filter(({ link, resumed }) => link !== undefined && resumed)
-    job.collecting = new Set(open.map(({ agentId }) => agentId))
-    const message = create(CollectSchema, { workspace: job.workspace, submission: job.id, keepMs })
-    for (const { link } of open) link!.add((frame) => { frame.collects.push(message) })
-    this.options.clock.after(this.options.collectTimeoutMs, () => this.endCollect(job))
-    if (open.length === 0) this.endCollect(job)
+    this.takeovers.begin(job, keepMs, this.knownAgents)
   }
 
   /** Ends a job early: what waits is dropped, what runs is aborted. */
@@ -137,16 +149,11 @@
    * @returns the agents that had a start of it
    */
   release (job: Job): AgentHandle[] {
-    this.services.get(job.service)?.queue.remove(job)
+    this.services.find(job.service)?.queue.remove(job)
     job.queue = []
     this.jobs.delete(job.key)
-    const holders = this.knownAgents.filter((agent) => {
-      const sent = [...agent.sent].filter(([, entry]) => entry.job === job)
-      for (const [key] of sent) this.forget(agent, key)
-      return sent.length > 0
-    })
     this.pumpAll()
-    return holders
+    return this.inFlight.removeJob(job, this.knownAgents)
   }
 
   /** An agent opened a session. An earlier one with it is over. */
@@ -173,7 +180,7 @@
     for (const result of frame.results) this.onResult(agent, result)
     if (frame.resume !== undefined) this.onResume(agent, frame.resume.held)
     for (const { workspace, submission, running } of frame.collected) {
-      this.onCollected(agent, submissionKey(workspace, submission), running)
+      this.takeovers.onCollected(agent, this.jobs.get(submissionKey(workspace, submission)), running)
     }
     if (frame.credits > 0) this.onCredits(agent, frame.credits)
     // A result may lift the limit of a workspace that waits for another service.
@@ -190,19 +197,7 @@
 
   /** Runs a pass over every queue, as limits or weights changed. */
   pumpAll (): void {
-    for (const service of this.services.values()) if (service.queue.size > 0) this.schedulePump(service)
-  }
-
-  private serviceOf (name: string): ServiceState {
-    const known = this.services.get(name)
-    if (known !== undefined) return known
-    const { order, weightOf, maxRunningOf, clock, setAsideShare, setAsideBackoff } = this.options
-    const mayRun = (workspace: string) => this.runningTasks(workspace) < maxRunningOf(workspace)
-    const service = new ServiceState(
-      { order, weightOf, mayRun },
-      { now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff })
-    this.services.set(name, service)
-    return service
+    for (const service of this.services.waiting) this.schedulePump(service)
   }
 
   private schedulePump (service: ServiceState): void {
@@ -245,30 +240,17 @@
     job.mayHaveRun++
     if (this.options.rule.needsCredit) agent.credits--
     agent.free--
-    agent.sent.set(taskKey(key), { job, task: index, sentAt: now, estimateMs })
+    this.inFlight.add(agent, taskKey(key), { job, task: index, sentAt: now, estimateMs })
     service.health.sent(agent.agentId)
     service.queue.charge(job.workspace, estimateMs)
-    this.runningOf.set(job.workspace, this.runningTasks(job.workspace) + 1)
     agent.link!.add((frame) => { frame.starts.push(start) })
     this.options.events.started(job, now - task.queuedAt)
   }
 
-  /** Removes a start from those in flight. */
-  private forget (agent: AgentHandle, key: string): SentTask | undefined {
-    const sent = agent.sent.get(key)
-    if (sent === undefined) return undefined
-    agent.sent.delete(key)
-    const { workspace } = sent.job
-    const running = this.runningTasks(workspace) - 1
-    if (running > 0) this.runningOf.set(workspace, running)
-    else this.runningOf.delete(workspace)
-    return sent
-  }
-
   private onResult (agent: AgentHandle, result: TaskResult): void {
     agent.link?.add((frame) => { frame.ackedSeq = result.seq })
     const key = result.key!
-    const sent = this.forget(agent, taskKey(key))
+    const sent = this.inFlight.remove(agent, taskKey(key))
     if (sent !== undefined) this.settleCharge(sent, result)
     const job = this.jobs.get(submissionKey(key.workspace, key.submission))
     const task = job?.tasks[key.task]
@@ -278,7 +260,7 @@
   }
 
   private settleCharge ({ job, estimateMs }: SentTask, result: TaskResult): void {
-    this.services.get(job.service)?.queue.charge(job.workspace, result.runMs - estimateMs)
+    this.services.find(job.service)?.queue.charge(job.workspace, result.runMs - estimateMs)
   }
 
   private settleTask (agent: AgentHandle, job: Job, index: number, result: TaskResult): void {
@@ -291,7 +273,7 @@
   }
 
   private judgeEndpoint (agent: AgentHandle, serviceName: string, result: TaskResult): void {
-    const health = this.services.get(serviceName)?.health
+    const health = this.services.find(serviceName)?.health
     if (health === undefined) return
     if (result.outcome === TASK_OUTCOMES.done) return health.succeeded(agent.agentId, result.runMs)
     if (NEUTRAL_REASONS.has(result.reason)) return health.unsent(agent.agentId)
@@ -331,7 +313,7 @@
     const task = job.tasks[index]!
     task.state = TASK_STATES.queued
     task.queuedAt = this.options.clock.now()
-    const service = this.serviceOf(job.service)
+    const service = this.services.of(job.service)
     service.queue.putBack(job, index)
     this.schedulePump(service)
   }
@@ -348,7 +330,7 @@
     const missing = [...agent.sent].filter(([key]) => !heldKeys.has(key))
     const mayRequeue = agent.stampMs - agent.stampAtLossMs <= this.options.resumeWindowMs
     for (const [key, { job, task }] of missing) {
-      this.forget(agent, key)
+      this.inFlight.remove(agent, key)
       if (mayRequeue) this.onNotStarted(job, task, REASONS.lostStart)
       else this.failLost(job, agent)
     }
@@ -364,38 +346,14 @@
     }
   }
 
-  private onCollected (agent: AgentHandle, key: string, running: number[]): void {
-    const job = this.jobs.get(key)
-    if (job?.collecting === undefined) return
-    for (const index of running) this.expectResult(agent, job, index)
-    job.collecting.delete(agent.agentId)
-    if (job.collecting.size === 0) this.endCollect(job)
-  }
-
-  private expectResult (agent: AgentHandle, job: Job, index: number): void {
-    const task = job.tasks[index]
-    if (task === undefined || task.state !== TASK_STATES.unknown) return
-    task.state = TASK_STATES.sent
-    task.agentId = agent.agentId
-    const key = taskKey({ workspace: job.workspace, submission: job.id, task: index } as TaskKey)
-    agent.sent.set(key, { job, task: index, sentAt: this.options.clock.now(), estimateMs: 0 })
-    this.runningOf.set(job.workspace, this.runningTasks(job.workspace) + 1)
-  }
-
-  private endCollect (job: Job): void {
-    if (isFinished(job) || !this.jobs.has(job.key)) return
-    const isMissing = job.tasks.some(({ state }) => state === TASK_STATES.unknown)
-    if (isMissing) this.options.events.failed(job, REASONS.ownerLost, 'the owner was lost and no agent reached knows all tasks')
-  }
-
   /** The agent is gone with what it held. */
   private loseAgent (agent: AgentHandle): void {
     agent.cancelLossTimer?.()
     agent.link?.close()
-    this.setService(agent, '')
+    this.services.place(agent, '')
     this.agents.delete(agent.agentId)
     for (const [key, { job }] of [...agent.sent]) {
-      this.forget(agent, key)
+      this.inFlight.remove(agent, key)
       this.failLost(job, agent)
     }
   }
@@ -412,7 +370,7 @@
     agent.slots = slots
     agent.standingCredits = standingCredits
     agent.address = address
-    this.setService(agent, service)
+    this.services.place(agent, service)
   }
 
   private setLeaving (agent: AgentHandle): void {
@@ -420,23 +378,11 @@
     agent.credits = 0
   }
 
-  private setService (agent: AgentHandle, name: string): void {
-    if (agent.service === name) return
-    const before = this.services.get(agent.service)
-    before?.agents.delete(agent.agentId)
-    before?.health.remove(agent.agentId)
-    agent.service = name
-    if (name === '') return
-    const service = this.serviceOf(name)
-    service.agents.set(agent.agentId, agent)
-    service.health.add(agent.agentId)
-  }
-
   private onCredits (agent: AgentHandle, credits: number): void {
     agent.credits += credits
     // The agent counts its grants against the demand that it was told, too.
     agent.toldDemand = Math.max(0, agent.toldDemand - credits)
-    const service = this.services.get(agent.service)
+    const service = this.services.find(agent.service)
     if (service !== undefined) this.schedulePump(service)
   }
 }
--- /dev/null
+++ b/packages/coordination/src/dispatch/takeovers.ts
@@ -0,0 +1,66 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock } from '@hazellift/common'
+import { CollectSchema } from '@hazellift/protocol'
+import type { TaskKey } from '@hazellift/protocol'
+import { TASK_STATES, isFinished } from '../jobs/job.js'
+import type { Job } from '../jobs/job.js'
+import { taskKey } from '../tasks/keys.js'
+import type { AgentHandle } from './agentHandle.js'
+import type { InFlight } from './inFlight.js'
+
+/** What takeovers need. */
+export interface TakeoverOptions {
+  clock: Clock
+  inFlight: InFlight
+  /** How long to wait for agents to say what they know, in ms. */
+  collectTimeoutMs: number
+  isOpen: (job: Job) => boolean
+  /** No agent reached knows all tasks. */
+  onMissing: (job: Job) => void
+}
+
+/**
+ * Jobs taken over from a lost owner: asks agents what they know, and waits for
+ * what runs. Nothing of such a job is ever started here.
+ */
+export class Takeovers {
+  constructor (private readonly options: TakeoverOptions) {}
+
+  /**
+   * Asks every agent that can be reached.
+   *
+   * @param keepMs - how long agents must refuse its starts: the claim's deadline
+   */
+  begin (job: Job, keepMs: number, agents: AgentHandle[]): void {
+    const { clock, collectTimeoutMs } = this.options
+    const reached = agents.filter(({ link, resumed }) => link !== undefined && resumed)
+    job.collecting = new Set(reached.map(({ agentId }) => agentId))
+    const message = create(CollectSchema, { workspace: job.workspace, submission: job.id, keepMs })
+    for (const { link } of reached) link!.add((frame) => { frame.collects.push(message) })
+    clock.after(collectTimeoutMs, () => this.end(job))
+    if (reached.length === 0) this.end(job)
+  }
+
+  /** An agent said which tasks of the job it runs; results of those that ended came before. */
+  onCollected (agent: AgentHandle, job: Job | undefined, running: number[]): void {
+    if (job?.collecting === undefined) return
+    for (const index of running) this.expectResult(agent, job, index)
+    job.collecting.delete(agent.agentId)
+    if (job.collecting.size === 0) this.end(job)
+  }
+
+  private expectResult (agent: AgentHandle, job: Job, index: number): void {
+    const task = job.tasks[index]
+    if (task === undefined || task.state !== TASK_STATES.unknown) return
+    task.state = TASK_STATES.sent
+    task.agentId = agent.agentId
+    const key = taskKey({ workspace: job.workspace, submission: job.id, task: index } as TaskKey)
+    this.options.inFlight.add(agent, key, { job, task: index, sentAt: this.options.clock.now(), estimateMs: 0 })
+  }
+
+  private end (job: Job): void {
+    if (isFinished(job) || !this.options.isOpen(job)) return
+    const isMissing = job.tasks.some(({ state }) => state === TASK_STATES.unknown)
+    if (isMissing) this.options.onMissing(job)
+  }
+}
