A stopping entry answers those who wait for jobs of other entries; job starter; byte counts

Cause: the drain of a stop counted this entry's jobs only, so a request that waited there for a job of another entry was cut when the listeners closed. Found by reading. Ruled out: jobs of its own (the drain covers them).

--- a/packages/coordination/src/jobs/jobService.ts
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -5,13 +5,12 @@
 import type { ClaimStore } from '../claims/claimStore.js'
 import type { WorkspaceConfig } from '../config/configWatch.js'
 import type { EntryDirectory } from '../entries/entryDirectory.js'
-import type { PolicyDecision } from '../policy/types.js'
 import { submissionKey } from '../tasks/keys.js'
 import type { Admission } from './admission.js'
 import { Attachment } from './attachment.js'
 import { bodyHash, isSameBody } from './bodyHash.js'
-import { createCollectedJob, createJob } from './job.js'
-import type { Job } from './job.js'
+import { JobStarter, STORE_RETRY_MS } from './jobStarter.js'
+import type { AdmittedJob, BeginOutcome } from './jobStarter.js'
 import { OutageLookup } from './outageLookup.js'
 import type { JobNews, OwnedJobs } from './ownedJobs.js'
 import type { PeerCalls, PeerQuery } from './peerCalls.js'
@@ -46,9 +45,7 @@
   bodyHash: Uint8Array
 }
 
-const STORE_RETRY_MS = 1000
 const UNSAVED_RETRY_MS = 1000
-const TAKEOVER_DEADLINE_MS = 60_000
 const NO_HASH = new Uint8Array()
 
 const unsavedReply: JobReply = refuse(REASONS.answerUnsaved,
@@ -62,12 +59,12 @@
   private readonly outage: OutageLookup
   /** Submissions whose claim is being written here. */
   private readonly claiming = new Map<string, Promise<unknown>>()
-  /** Nonces given up before anything was started; nothing ever will be under them. */
-  private readonly released = new Set<string>()
+  private readonly starter: JobStarter
   private stopping = false
 
   constructor (private readonly options: JobServiceOptions) {
     this.attachment = new Attachment({ ...options, ownAnswer: (claim) => this.ownAnswer(claim) })
+    this.starter = new JobStarter(options)
     this.outage = new OutageLookup({ ...options, memoryMs: options.answerWindowMs })
   }
 
@@ -97,11 +94,11 @@
     const deadlineMs = spec.deadlineMs || this.options.defaultDeadlineMs
     const admitted = this.admit(config, spec, deadlineMs)
     if (admitted.type === 'refused') return this.refuseUnlessKnown(workspace, spec.id, hash, until, admitted)
-    const claiming = this.claimAndStart(workspace, spec, hash, deadlineMs, admitted.decision)
-    const outcome = await this.whileClaiming(key, claiming)
+    const job: AdmittedJob = { workspace, spec, hash, decision: admitted.decision, deadlineMs }
+    const outcome = await this.whileClaiming(key, this.claim(job))
     if (outcome.type === 'refused') return this.refuseUnlessKnown(workspace, spec.id, hash, until, outcome)
     if (outcome.type === 'local') return this.waitLocal(key, hash, until)
-    return this.attach(outcome.claim, hash, until, { spec, decision: admitted.decision, deadlineMs })
+    return this.attach(outcome.claim, hash, until, job)
   }
 
   /** Asks for a job that was submitted before. */
@@ -146,7 +143,7 @@
     }
     const remembered = owned.answerOf(key)
     if (remembered !== undefined) return { kind: PEER_ANSWERS.final, ...remembered }
-    const kind = this.released.has(query.nonce) ? PEER_ANSWERS.released : PEER_ANSWERS.unknown
+    const kind = this.starter.isReleased(query.nonce) ? PEER_ANSWERS.released : PEER_ANSWERS.unknown
     return { kind, bodyHash: NO_HASH }
   }
 
@@ -173,46 +170,13 @@
     }
   }
 
-  private async claimAndStart (workspace: string, spec: JobSpec, hash: Uint8Array, deadlineMs: number, decision: PolicyDecision): Promise<
-    { type: 'local' } | { type: 'existing', claim: Claim } | Refusal
-  > {
-    const { clock, claims, admission, claimTimeoutMs, observeClaim } = this.options
-    const arrivedAt = clock.now()
-    const release = admission.reserve(workspace, spec.tasks.length)
-    const outcome = await claims.claim({
-      workspace,
-      submission: spec.id,
-      bodyHash: hash,
-      service: spec.service,
-      taskCount: spec.tasks.length,
-      unrepeatable: spec.unrepeatable,
-      deadlineMs
-    }, arrivedAt + Math.min(claimTimeoutMs, deadlineMs))
-    release()
-    observeClaim(outcome.type)
-    if (outcome.type === 'existing') return outcome
-    if (outcome.type === 'unavailable') {
-      if (!outcome.certain) this.released.add(outcome.nonce)
-      return refuse(REASONS.storeDown, outcome.message, RUN_STATES.notRun, STORE_RETRY_MS)
+  private async claim (job: AdmittedJob): Promise<BeginOutcome> {
+    const release = this.options.admission.reserve(job.workspace, job.spec.tasks.length)
+    try {
+      return await this.starter.claim(job)
+    } finally {
+      release()
     }
-    this.options.owned.start(this.jobOf(workspace, spec, decision, arrivedAt, deadlineMs), outcome.claim)
-    return { type: 'local' }
-  }
-
-  private jobOf (workspace: string, spec: JobSpec, decision: PolicyDecision, arrivedAt: number, deadlineMs: number): Job {
-    const { id, service, unrepeatable } = spec
-    return createJob({
-      workspace,
-      id,
-      service,
-      payloads: spec.tasks.map(({ payload }) => payload),
-      unrepeatable,
-      priority: decision.priority,
-      retries: decision.retries,
-      leaseMs: this.options.leaseMs,
-      arrivedAt,
-      deadlineAt: arrivedAt + deadlineMs
-    })
   }
 
   /** The reply that this entry's memory gives, if it knows the job. */
@@ -245,7 +209,7 @@
   }
 
   /** Follows a claim; takes it over where its owner is lost, or has released it. */
-  private async attach (claim: Claim, hash: Uint8Array | undefined, until: number, fresh?: FreshRun): Promise<JobReply> {
+  private async attach (claim: Claim, hash: Uint8Array | undefined, until: number, fresh?: AdmittedJob): Promise<JobReply> {
     const step = await this.attachment.follow(claim, hash, until)
     const key = submissionKey(claim.record.workspace, claim.record.submission)
     switch (step.type) {
@@ -259,7 +223,7 @@
     }
   }
 
-  private async takeOver (claim: Claim, hash: Uint8Array | undefined, until: number, fresh: FreshRun | undefined): Promise<JobReply> {
+  private async takeOver (claim: Claim, hash: Uint8Array | undefined, until: number, fresh: AdmittedJob | undefined): Promise<JobReply> {
     const { workspace, submission } = claim.record
     const key = submissionKey(workspace, submission)
     // Another request here may have begun the same takeover.
@@ -268,48 +232,17 @@
       await running
       return this.waitLocal(key, hash, until)
     }
-    const outcome = await this.whileClaiming(key, this.takeOverAndStart(claim, fresh))
+    const begun = fresh === undefined ? this.starter.collect(claim) : this.starter.runReleased(claim, fresh)
+    const outcome = await this.whileClaiming(key, begun)
     if (outcome.type === 'refused') return outcome
     if (outcome.type === 'local') return this.waitLocal(key, hash, until)
     return this.attach(outcome.claim, hash, until, fresh)
   }
 
-  private async takeOverAndStart (claim: Claim, fresh: FreshRun | undefined): Promise<
-    { type: 'local' } | { type: 'existing', claim: Claim } | Refusal
-  > {
-    const { clock, claims, owned, claimTimeoutMs, observeClaim } = this.options
-    const { workspace } = claim.record
-    const outcome = await claims.takeOver(claim, clock.now() + claimTimeoutMs)
-    if (outcome.type === 'existing') return outcome
-    if (outcome.type === 'unavailable') {
-      if (fresh !== undefined && !outcome.certain) this.released.add(outcome.nonce)
-      return refuse(REASONS.storeDown, outcome.message, fresh === undefined ? RUN_STATES.mayHaveRun : RUN_STATES.notRun, STORE_RETRY_MS)
-    }
-    observeClaim('taken_over')
-    if (fresh === undefined) owned.collect(this.collectedJobOf(outcome.claim), outcome.claim)
-    else owned.start(this.jobOf(workspace, fresh.spec, fresh.decision, clock.now(), fresh.deadlineMs), outcome.claim)
-    return { type: 'local' }
-  }
-
-  private collectedJobOf ({ record }: Claim): Job {
-    const { clock, leaseMs } = this.options
-    return createCollectedJob({
-      workspace: record.workspace,
-      id: record.submission,
-      service: record.service,
-      unrepeatable: record.unrepeatable,
-      priority: 0,
-      retries: 0,
-      leaseMs,
-      arrivedAt: clock.now(),
-      deadlineAt: clock.now() + TAKEOVER_DEADLINE_MS
-    }, record.taskCount)
-  }
-
   /** A refusal may say "not run" only of a submission that nobody has claimed. */
   private async refuseUnlessKnown (workspace: string, id: string, hash: Uint8Array, until: number, refusal: Refusal): Promise<JobReply> {
     const claim = this.options.isStoreUp() ? await this.options.claims.read(workspace, id) : undefined
-    if (claim?.ok === true && claim.value !== undefined && !this.released.has(claim.value.record.nonce)) {
+    if (claim?.ok === true && claim.value !== undefined && !this.starter.isReleased(claim.value.record.nonce)) {
       return this.attach(claim.value, hash, until)
     }
     if (claim?.ok === true) return refusal
@@ -337,13 +270,6 @@
     const key = submissionKey(workspace, submission)
     const isLocal = this.options.owned.claimOf(key) !== undefined || this.options.owned.answerOf(key) !== undefined
     if (isLocal) return 'local'
-    return this.released.has(nonce) ? 'released' : 'lost'
+    return this.starter.isReleased(nonce) ? 'released' : 'lost'
   }
 }
-
-/** A run of a submission that nothing was started of. */
-interface FreshRun {
-  spec: JobSpec
-  decision: PolicyDecision
-  deadlineMs: number
-}
--- /dev/null
+++ b/packages/coordination/src/jobs/jobStarter.ts
@@ -0,0 +1,136 @@
+import type { Clock } from '@hazellift/common'
+import { REASONS, RUN_STATES } from '@hazellift/protocol'
+import type { JobSpec } from '@hazellift/protocol'
+import type { Claim } from '../claims/claimRows.js'
+import type { ClaimOutcome, ClaimStore } from '../claims/claimStore.js'
+import type { PolicyDecision } from '../policy/types.js'
+import { createCollectedJob, createJob } from './job.js'
+import type { Job } from './job.js'
+import type { OwnedJobs } from './ownedJobs.js'
+import { refuse } from './replies.js'
+import type { Refusal } from './replies.js'
+
+/** A submission that its policy has admitted. */
+export interface AdmittedJob {
+  workspace: string
+  spec: JobSpec
+  hash: Uint8Array
+  decision: PolicyDecision
+  deadlineMs: number
+}
+
+/** What became of an attempt to own a submission and to begin its job. */
+export type BeginOutcome =
+  /** The job is open at this entry. */
+  | { type: 'local' }
+  /** Somebody else owns it. */
+  | { type: 'existing', claim: Claim }
+  | Refusal
+
+/** What the starter needs. */
+export interface JobStarterOptions {
+  clock: Clock
+  claims: Pick<ClaimStore, 'claim' | 'takeOver'>
+  owned: Pick<OwnedJobs, 'start' | 'collect'>
+  claimTimeoutMs: number
+  leaseMs: number
+  /** Told how each claim ended: owned, existing, unavailable, taken_over. */
+  observeClaim: (outcome: string) => void
+}
+
+export const STORE_RETRY_MS = 1000
+const TAKEOVER_DEADLINE_MS = 60_000
+
+/**
+ * Turns claims into open jobs: fresh ones start their tasks, those taken over
+ * from a lost owner only collect results.
+ */
+export class JobStarter {
+  /** Nonces given up before anything was started; nothing ever will be under them. */
+  private readonly released = new Set<string>()
+
+  constructor (private readonly options: JobStarterOptions) {}
+
+  /** True if the claim is one that this entry gave up, so that nothing of it was or will be started. */
+  isReleased (nonce: string): boolean {
+    return this.released.has(nonce)
+  }
+
+  /** Claims a submission and starts its job. */
+  async claim (job: AdmittedJob): Promise<BeginOutcome> {
+    const { clock, claims, claimTimeoutMs, observeClaim } = this.options
+    const { workspace, spec, hash, deadlineMs } = job
+    const arrivedAt = clock.now()
+    const outcome = await claims.claim({
+      workspace,
+      submission: spec.id,
+      bodyHash: hash,
+      service: spec.service,
+      taskCount: spec.tasks.length,
+      unrepeatable: spec.unrepeatable,
+      deadlineMs
+    }, arrivedAt + Math.min(claimTimeoutMs, deadlineMs))
+    observeClaim(outcome.type)
+    return this.beginFresh(outcome, job, arrivedAt)
+  }
+
+  /** Takes over a claim that its owner has released, and starts the job. */
+  async runReleased (claim: Claim, job: AdmittedJob): Promise<BeginOutcome> {
+    const { clock, claims, claimTimeoutMs, observeClaim } = this.options
+    const outcome = await claims.takeOver(claim, clock.now() + claimTimeoutMs)
+    if (outcome.type === 'owned') observeClaim('taken_over')
+    return this.beginFresh(outcome, job, clock.now())
+  }
+
+  /** Takes over a claim whose owner is lost, and collects what agents know. */
+  async collect (claim: Claim): Promise<BeginOutcome> {
+    const { clock, claims, owned, claimTimeoutMs, observeClaim } = this.options
+    const outcome = await claims.takeOver(claim, clock.now() + claimTimeoutMs)
+    if (outcome.type === 'existing') return outcome
+    if (outcome.type === 'unavailable') return refuse(REASONS.storeDown, outcome.message, RUN_STATES.mayHaveRun, STORE_RETRY_MS)
+    observeClaim('taken_over')
+    owned.collect(this.collectedJobOf(outcome.claim), outcome.claim)
+    return { type: 'local' }
+  }
+
+  private beginFresh (outcome: ClaimOutcome, job: AdmittedJob, arrivedAt: number): BeginOutcome {
+    if (outcome.type === 'existing') return outcome
+    if (outcome.type === 'unavailable') {
+      if (!outcome.certain) this.released.add(outcome.nonce)
+      return refuse(REASONS.storeDown, outcome.message, RUN_STATES.notRun, STORE_RETRY_MS)
+    }
+    this.options.owned.start(this.jobOf(job, arrivedAt), outcome.claim)
+    return { type: 'local' }
+  }
+
+  private jobOf ({ workspace, spec, decision, deadlineMs }: AdmittedJob, arrivedAt: number): Job {
+    const { id, service, unrepeatable } = spec
+    return createJob({
+      workspace,
+      id,
+      service,
+      payloads: spec.tasks.map(({ payload }) => payload),
+      unrepeatable,
+      priority: decision.priority,
+      retries: decision.retries,
+      leaseMs: this.options.leaseMs,
+      arrivedAt,
+      deadlineAt: arrivedAt + deadlineMs
+    })
+  }
+
+  private collectedJobOf ({ record }: Claim): Job {
+    const { clock, leaseMs } = this.options
+    return createCollectedJob({
+      workspace: record.workspace,
+      id: record.submission,
+      service: record.service,
+      unrepeatable: record.unrepeatable,
+      priority: 0,
+      retries: 0,
+      leaseMs,
+      arrivedAt: clock.now(),
+      deadlineAt: clock.now() + TAKEOVER_DEADLINE_MS
+    }, record.taskCount)
+  }
+}
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -88,8 +88,18 @@
   }
 }
 
-const drain = async (parts: EntryParts, isCut: () => boolean): Promise<void> => {
-  while (parts.jobs.size > 0 && !isCut()) await parts.clock.sleep(DRAIN_CHECK_MS)
+/** Counts requests that are not answered; some wait for jobs of other entries. */
+const countRequests = (server: Server): (() => number) => {
+  let open = 0
+  server.on('request', (_req, res) => {
+    open++
+    res.once('close', () => { open-- })
+  })
+  return () => open
+}
+
+const drain = async (parts: EntryParts, openRequests: () => number, isCut: () => boolean): Promise<void> => {
+  while ((parts.jobs.size > 0 || openRequests() > 0) && !isCut()) await parts.clock.sleep(DRAIN_CHECK_MS)
 }
 
 /**
@@ -102,6 +112,7 @@
   const sessionServer = createSessionServer(settings, parts)
   const openSessions = trackSessions(sessionServer)
   const apiServer = createApiServer(parts.api)
+  const openRequests = countRequests(apiServer)
   const sessionAddress = await listen(sessionServer, settings.listenHost, settings.sessionPort)
   const apiAddress = await listen(apiServer, settings.listenHost, settings.apiPort)
   parts.addresses.session = settings.advertiseSession || sessionAddress
@@ -117,7 +128,7 @@
     parts.jobs.stop()
     parts.sessions.leave()
     void parts.directory.leave()
-    await drain(parts, () => cut)
+    await drain(parts, openRequests, () => cut)
     stopLoops()
     await parts.directory.stop()
     await parts.clock.sleep(CLOSE_DELAY_MS)
--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -13,6 +13,8 @@
   /** Holds back everything that arrives, as a network that loses packets does, until `heal`. */
   freeze: () => void
   heal: () => void
+  /** Bytes passed on so far, both ways. */
+  bytes: () => number
   close: () => void
 }
 
@@ -24,6 +26,7 @@
 export const startRelay = async (target = ''): Promise<Relay> => {
   const sockets = new Set<Socket>()
   let to = target
+  let bytes = 0
   let severed = false
   let frozen = false
 
@@ -39,8 +42,12 @@
     const onward = connect(Number(port), host)
     keep(from)
     keep(onward)
-    from.on('data', (chunk) => onward.write(chunk))
-    onward.on('data', (chunk) => from.write(chunk))
+    const pass = (to: Socket) => (chunk: Buffer): void => {
+      bytes += chunk.length
+      to.write(chunk)
+    }
+    from.on('data', pass(onward))
+    onward.on('data', pass(from))
     from.on('close', () => onward.destroy())
     onward.on('close', () => from.destroy())
     if (!frozen) return
@@ -72,6 +79,7 @@
       frozen = false
       for (const socket of sockets) socket.resume()
     },
+    bytes: () => bytes,
     close: () => {
       cut()
       server.close()
--- a/packages/standins/src/measure/slopes.ts
+++ b/packages/standins/src/measure/slopes.ts
@@ -19,6 +19,8 @@
   entryMb: number
   agentMb: number
   framesPerSecond: number
+  /** On all connections to the entries' session ports, by agent; 0 without relays. */
+  bytesPerSecondAnAgent: number
   readsPerSecond: number
   writesPerSecond: number
 }
@@ -28,6 +30,7 @@
   agents: Scrape[]
   reads: number
   writes: number
+  bytes: number
 }
 
 /** What runs while the spending is measured. */
@@ -44,7 +47,8 @@
   const { reads, writes } = await res.body.json() as { reads: number, writes: number }
   const entries = await Promise.all(cluster.entries.map(({ facts }) => scrape(facts['api']!)))
   const agents = await Promise.all(cluster.workers.map(({ agent }) => scrape(agent.facts['agent']!)))
-  return { entries, agents, reads, writes }
+  const bytes = cluster.relays.sessions.reduce((sum, relay) => sum + relay.bytes(), 0)
+  return { entries, agents, reads, writes, bytes }
 }
 
 const mean = (scrapes: Scrape[], metric: string): number =>
@@ -98,6 +102,7 @@
       entryMb: mean(after.entries, 'process_resident_memory_bytes') / 1e6,
       agentMb: mean(after.agents, 'process_resident_memory_bytes') / 1e6,
       framesPerSecond: grown('entries', 'hazellift_frames_total'),
+      bytesPerSecondAnAgent: (after.bytes - before.bytes) / seconds / cluster.workers.length,
       readsPerSecond: (after.reads - before.reads) / seconds,
       writesPerSecond: (after.writes - before.writes) / seconds
     }
@@ -115,18 +120,23 @@
     [`idle, ${count} workspaces`, { entries: 1, workers: 2, workspaces: workspacesOf(count) }, idle]),
   ...[2, 4, 8].map((slots): [string, ClusterOptions, Work] =>
     [`full, 1 entry, 11 agents of ${slots} slots, tasks of ${TASK_MS} ms`, { entries: 1, workers: 11, slots }, saturate]),
-  ['full, 1 entry, 11 agents of 32 slots', { entries: 1, workers: 11, slots: 32 }, saturate]
+  ['full, 1 entry, 11 agents of 32 slots', { entries: 1, workers: 11, slots: 32 }, saturate],
+  ['idle, 3 entries, 4 agents, relayed', { entries: 3, workers: 4, relays: true }, idle],
+  ['full, 1 entry, 4 agents of 8 slots, relayed', { entries: 1, workers: 4, relays: true }, saturate]
 ]
 
-new Command('slopes').description('Measures what entries and agents spend, idle and at work, against their numbers.').parse()
+const { only } = new Command('slopes')
+  .description('Measures what entries and agents spend, idle and at work, against their numbers.')
+  .option('--only <text>', 'run the trials whose name holds this', '')
+  .parse().opts<{ only: string }>()
 
 const table = new Table({
-  head: ['trial', 'tasks/s', 'entry core', 'agent core', 'entry MB', 'agent MB', 'frames/s an entry', 'reads/s', 'writes/s'],
+  head: ['trial', 'tasks/s', 'entry core', 'agent core', 'entry MB', 'agent MB', 'frames/s an entry', 'bytes/s an agent', 'reads/s', 'writes/s'],
   style: { head: [], border: [] }
 })
-for (const [name, options, work] of TRIALS) {
+for (const [name, options, work] of TRIALS.filter(([name]) => name.includes(only))) {
   const s = await measureSpending(name, options, work)
   table.push([s.name, s.tasksPerSecond.toFixed(0), s.entryCoreShare.toFixed(4), s.agentCoreShare.toFixed(4), s.entryMb.toFixed(0),
-    s.agentMb.toFixed(0), s.framesPerSecond.toFixed(1), s.readsPerSecond.toFixed(1), s.writesPerSecond.toFixed(1)])
+    s.agentMb.toFixed(0), s.framesPerSecond.toFixed(1), s.bytesPerSecondAnAgent.toFixed(0), s.readsPerSecond.toFixed(1), s.writesPerSecond.toFixed(1)])
 }
 process.stdout.write(`${table.toString()}\n`)
--- a/tests/failures/plannedStops.test.ts
+++ b/tests/failures/plannedStops.test.ts
@@ -104,3 +104,14 @@
   expect(entry!.logLines().some((line) => line.includes('event=cut item=florist/endless'))).toBe(true)
   expect(await submitUntilFinal(cluster, { id: 'endless', tasks: tasksOf(4, 20_000) }, [1])).toMatchObject({ state: 'failed', reason: 'stop_cut' })
 }))
+
+test('a stopping entry answers those who wait there for a job of another entry', () => withCluster(async (cluster) => {
+  const owner = submit(cluster, { id: 'elsewhere', tasks: tasksOf(4, 2500) }, { entry: 1 })
+  await sleep(300)
+  const waiting = ask(cluster, 'elsewhere', { entry: 0 })
+  await sleep(300)
+  cluster.entries[0]!.kill('SIGTERM')
+  expect(await waiting).toMatchObject({ status: 200, state: 'complete' })
+  expect(await cluster.entries[0]!.exited).toBe(0)
+  expect(await owner).toMatchObject({ state: 'complete' })
+}))
