Retries follow answered attempts only and have keys of their own; acks ride along

Cause 1: a retry sent to the agent that held the failed attempt was taken for a duplicate and its old result was given again, so retries were used up without a start; and after an expired lease or a broken connection, where the attempt may still run at the endpoint, a task was tried again. Found by reading and by a new test ('starts 3 time(s) after endpoint_error': 1 start). Cause 2: each result brought a frame that carried only its acknowledgement and was counted as a keep-alive, so the messages reported were too few. Ruled out: changing the agent's ledger to forget failed attempts, as a result repeated after a cut would then count for the next attempt. Change: TaskKey has an attempt; a later one starts only after a failed earlier one; only endpoint_error and bad_answer are retried; acknowledgements go with the next frame. Property tests have retries and watch for attempts that overlap.

--- a/packages/agent/src/endpoint/announcedEndpoint.ts
+++ b/packages/agent/src/endpoint/announcedEndpoint.ts
@@ -4,8 +4,8 @@
 import type { AttemptEnd, RunAttempt, TaskHost } from '@hazellift/coordination'
 import { EndpointStateSchema, REASONS, TASK_OUTCOMES } from '@hazellift/protocol'
 import type { Announcement } from '@hazellift/protocol'
-import { createEndpointCaller } from './runAttempt.js'
-import type { EndpointCaller } from './runAttempt.js'
+import { createEndpointCaller } from './createEndpointCaller.js'
+import type { EndpointCaller } from './createEndpointCaller.js'
 
 /** What the announced endpoint needs. */
 export interface AnnouncedEndpointOptions {
--- a/packages/coordination/src/dispatch/agentHandle.ts
+++ b/packages/coordination/src/dispatch/agentHandle.ts
@@ -5,6 +5,8 @@
 export interface AgentLink {
   /** Adds to the next frame. */
   add: (add: (frame: EntryFrame) => void) => void
+  /** Acknowledges results up to this one with whatever frame goes next; asks for none. */
+  acknowledge: (seq: bigint) => void
   close: () => void
 }
 
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock, Random } from '@hazellift/common'
-import { REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES } from '@hazellift/protocol'
+import { REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES, TaskKeySchema } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
 import { TASK_STATES, isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
@@ -50,6 +50,8 @@
 }
 
 const ASSUMED_RUN_MS = 100
+/** Failures after which the attempt is known to be over: the endpoint answered. After others it may still run. */
+const ANSWERED_REASONS: ReadonlySet<string> = new Set([REASONS.endpointError, REASONS.badAnswer])
 /** Reasons by which an agent turned a start away that say nothing about its endpoint. */
 const NEUTRAL_REASONS: ReadonlySet<string> = new Set([
   REASONS.noSlot, REASONS.staleStart, REASONS.endpointGone, REASONS.lostStart, REASONS.revoked, REASONS.takenOver,
@@ -233,7 +235,7 @@
     const task = job.tasks[index]!
     const now = this.options.clock.now()
     const estimateMs = service.health.meanMs || ASSUMED_RUN_MS
-    const key = { workspace: job.workspace, submission: job.id, task: index } as TaskKey
+    const key = create(TaskKeySchema, { workspace: job.workspace, submission: job.id, task: index, attempt: task.failures })
     const start = create(StartSchema, { key, payload: task.payload, stampMs: agent.stampMs, leaseMs: job.leaseMs })
     task.state = TASK_STATES.sent
     task.agentId = agent.agentId
@@ -248,7 +250,7 @@
   }
 
   private onResult (agent: AgentHandle, result: TaskResult): void {
-    agent.link?.add((frame) => { frame.ackedSeq = result.seq })
+    agent.link?.acknowledge(result.seq)
     const key = result.key!
     const sent = this.inFlight.remove(agent, taskKey(key))
     if (sent !== undefined) this.settleCharge(sent, result)
@@ -304,7 +306,8 @@
     const task = job.tasks[index]!
     job.hasRun = true
     task.failures++
-    const mayRetry = !job.unrepeatable && job.collecting === undefined && task.failures <= job.retries
+    const isOver = ANSWERED_REASONS.has(result.reason)
+    const mayRetry = isOver && !job.unrepeatable && job.collecting === undefined && task.failures <= job.retries
     if (mayRetry) return this.requeue(job, index)
     const detail = result.body === '' ? '' : `: ${result.body}`
     this.options.events.failed(job, REASONS.taskFailed, `task ${index}: ${result.reason}${detail}`)
--- a/packages/coordination/src/dispatch/takeovers.ts
+++ b/packages/coordination/src/dispatch/takeovers.ts
@@ -42,20 +42,19 @@
   }
 
   /** An agent said which tasks of the job it runs; results of those that ended came before. */
-  onCollected (agent: AgentHandle, job: Job | undefined, running: number[]): void {
+  onCollected (agent: AgentHandle, job: Job | undefined, running: TaskKey[]): void {
     if (job?.collecting === undefined) return
-    for (const index of running) this.expectResult(agent, job, index)
+    for (const key of running) this.expectResult(agent, job, key)
     job.collecting.delete(agent.agentId)
     if (job.collecting.size === 0) this.end(job)
   }
 
-  private expectResult (agent: AgentHandle, job: Job, index: number): void {
-    const task = job.tasks[index]
+  private expectResult (agent: AgentHandle, job: Job, key: TaskKey): void {
+    const task = job.tasks[key.task]
     if (task === undefined || task.state !== TASK_STATES.unknown) return
     task.state = TASK_STATES.sent
     task.agentId = agent.agentId
-    const key = taskKey({ workspace: job.workspace, submission: job.id, task: index } as TaskKey)
-    this.options.inFlight.add(agent, key, { job, task: index, sentAt: this.options.clock.now(), estimateMs: 0 })
+    this.options.inFlight.add(agent, taskKey(key), { job, task: key.task, sentAt: this.options.clock.now(), estimateMs: 0 })
   }
 
   private end (job: Job): void {
--- a/packages/coordination/src/tasks/keys.ts
+++ b/packages/coordination/src/tasks/keys.ts
@@ -7,6 +7,9 @@
 export const submissionKey = (workspace: string, submission: string): string =>
   workspace + SEPARATOR + submission
 
-/** Names a task across submissions; also the idempotency key that endpoints get. */
-export const taskKey = ({ workspace, submission, task }: TaskKey): string =>
-  submissionKey(workspace, submission) + SEPARATOR + task
+/** Marks a further attempt in a key. */
+const ATTEMPT_MARK = '#'
+
+/** Names an attempt at a task across submissions; also the idempotency key that endpoints get. */
+export const taskKey = ({ workspace, submission, task, attempt }: TaskKey): string =>
+  submissionKey(workspace, submission) + SEPARATOR + task + (attempt > 0 ? ATTEMPT_MARK + attempt : '')
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -52,6 +52,10 @@
   owner: string
 }
 
+/** True for a later attempt, if the one known is over and has failed. */
+const isRetryOf = (known: TaskEntry, { attempt }: TaskKey): boolean =>
+  attempt > known.key.attempt && known.result?.outcome === TASK_OUTCOMES.failed
+
 const NO_ENDPOINT = create(EndpointStateSchema)
 
 /**
@@ -184,7 +188,7 @@
   private onStart (incarnation: string, start: Start): void {
     const key = start.key!
     const known = this.ledger.find(key)
-    if (known !== undefined) return this.onDuplicate(incarnation, known)
+    if (known !== undefined && !isRetryOf(known, key)) return this.onDuplicate(incarnation, known)
     const refusal = this.refusalOf(key, start)
     if (refusal !== undefined) {
       // A refused start used its credit all the same.
@@ -276,7 +280,7 @@
     const started = this.ledger.collect(workspace, submission, incarnation, keepMs)
     for (const { origin, key } of started) if (origin !== incarnation) this.tellTakenOver(origin, key)
     for (const { result } of started) if (result !== undefined) this.deliver(incarnation, { ...result })
-    const running = started.filter(({ result }) => result === undefined).map(({ key }) => key.task)
+    const running = started.filter(({ result }) => result === undefined).map(({ key }) => key)
     this.sessions.get(incarnation)?.add((frame) => {
       frame.collected.push(create(CollectedSchema, { workspace, submission, running }))
     })
--- a/packages/coordination/src/tasks/taskLedger.test.ts
+++ b/packages/coordination/src/tasks/taskLedger.test.ts
@@ -3,7 +3,7 @@
 import { TaskLedger } from './taskLedger.js'
 
 const MEMORY_MS = 1000
-const KEY = { workspace: 'w', submission: 's', task: 0 } as TaskKey
+const KEY = { workspace: 'w', submission: 's', task: 0, attempt: 0 } as TaskKey
 
 test.each([
   { name: 'a revoke is kept for the memory\'s length', keepMs: 0, afterMs: 900, isRevoked: true },
--- a/packages/coordination/tests/dispatch.test.ts
+++ b/packages/coordination/tests/dispatch.test.ts
@@ -13,7 +13,7 @@
 const startedOf = (network: FakeNetwork, job: Job): string[] =>
   network.starts.filter((key) => key.startsWith(`${job.key}/`))
 
-const newJob = (id: string, tasks: number): Job => createJob({ ...JOB_BASE, id, payloads: Array<string>(tasks).fill('p') })
+const newJob = (id: string, tasks: number): Job => createJob({ ...JOB_BASE, id, payloads: Array<string>(tasks).fill('p'), retries: 1 })
 
 describe('a lost session', () => {
   test.each([
@@ -42,6 +42,26 @@
   })
 })
 
+describe('a task that failed, in a job whose policy allows two retries', () => {
+  test.each([
+    { reason: 'endpoint_error' as const, unrepeatable: false, starts: 3 },
+    { reason: 'endpoint_reset' as const, unrepeatable: false, starts: 1 },
+    { reason: 'lease_expired' as const, unrepeatable: false, starts: 1 },
+    { reason: 'endpoint_error' as const, unrepeatable: true, starts: 1 }
+  ])('starts $starts time(s) after $reason (unrepeatable: $unrepeatable)', async ({ reason, unrepeatable, starts }) => {
+    const network = new FakeNetwork(1, 1)
+    network.settle()
+    network.entries[0]!.dispatcher.add(createJob({ ...JOB_BASE, id: 'j', payloads: ['p'], unrepeatable, retries: 2 }))
+    for (let round = 0; round < 5; round++) {
+      network.settle()
+      network.agents[0]!.running.shift()?.end({ outcome: TASK_OUTCOMES.failed, reason, body: '' })
+      await flush()
+    }
+    expect(network.starts).toHaveLength(starts)
+    expect(network.entries[0]!.failed).toHaveLength(1)
+  })
+})
+
 type Step =
   | { type: 'deliver', entry: number, agent: number, toAgent: boolean }
   | { type: 'deliverLate', nth: number }
@@ -171,7 +191,7 @@
       for (const { complete } of run.network.entries) {
         for (const job of complete) {
           expect(job.tasks.every(({ result }) => result === 'ok')).toBe(true)
-          expect(new Set(startedOf(run.network, job)).size).toBe(job.tasks.length)
+          expect(new Set(startedOf(run.network, job).map((key) => key.split('#')[0])).size).toBe(job.tasks.length)
         }
       }
     }), { seed: 20261202, numRuns: 1500 })
@@ -209,5 +229,6 @@
 })
 
 test('task keys name workspace, submission and task', () => {
-  expect(taskKey({ workspace: 'w', submission: 's', task: 3 } as never)).toBe('w/s/3')
+  expect(taskKey({ workspace: 'w', submission: 's', task: 3, attempt: 0 } as never)).toBe('w/s/3')
+  expect(taskKey({ workspace: 'w', submission: 's', task: 3, attempt: 2 } as never)).toBe('w/s/3#2')
 })
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -151,6 +151,10 @@
       memoryMs: MEMORY_MS,
       runAttempt: (start, _endpoint, signal) => new Promise((resolve) => {
         const key = taskKey(start.key!)
+        const task = key.split('#')[0]!
+        if (this.agents.some((agent) => agent.running.some((other) => other.key.split('#')[0] === task))) {
+          this.violations.push(`${key} started while another attempt ran`)
+        }
         this.starts.push(key)
         if (collected.has(key.slice(0, key.lastIndexOf('/')))) this.violations.push(`${key} started after its job was taken over`)
         if (this.clock.now() - start.stampMs > START_AGE_MS) this.violations.push(`${key} started with an old stamp`)
@@ -165,6 +169,7 @@
   private createSession (entry: FakeEntry, agent: FakeAgent): FakeSession {
     const { host } = agent
     let handle: AgentHandle | undefined
+    let ackedSeq = 0n
     const send = (add: (frame: AgentFrame) => void): void => {
       const frame = create(AgentFrameSchema)
       add(frame)
@@ -175,8 +180,10 @@
       add: (add) => {
         const frame = create(EntryFrameSchema)
         add(frame)
+        frame.ackedSeq = ackedSeq
         if (session.open) session.toAgent.push(frame)
       },
+      acknowledge: (seq) => { ackedSeq = seq },
       close: () => session.cut()
     }
     const session: FakeSession = {
--- a/packages/entry/src/createEntryParts.ts
+++ b/packages/entry/src/createEntryParts.ts
@@ -16,8 +16,8 @@
 import { Readiness } from './operations/readiness.js'
 import { ConfigSpread } from './peers/configSpread.js'
 import { PeerClients } from './peers/peerClients.js'
-import { createSessions } from './sessions/createSessionService.js'
-import type { Sessions } from './sessions/createSessionService.js'
+import { createSessions } from './sessions/createSessions.js'
+import type { Sessions } from './sessions/createSessions.js'
 import { createSweeper } from './sweeper.js'
 
 /** The parts of an entry, wired together. */
--- a/packages/entry/src/sessions/createSessionService.ts
+++ b/packages/entry/src/sessions/createSessions.ts
@@ -36,6 +36,8 @@
   /** Set once the agent said hello. */
   agent: AgentHandle | undefined
   lastSeenAt: number
+  /** The last result that arrived; goes out with the next frame. */
+  ackedSeq: bigint
 }
 
 const log = createLogger('entry:session')
@@ -76,8 +78,12 @@
       frame.welcome = create(WelcomeSchema, { entryId, incarnation })
       listEntries(frame)
     })
-    const link: AgentLink = { add: (add) => outbox.add(add), close: () => outbox.close() }
-    const session: Session = { link, agent: undefined, lastSeenAt: performance.now() }
+    const link: AgentLink = {
+      add: (add) => outbox.add(add),
+      acknowledge: (seq) => { session.ackedSeq = seq },
+      close: () => outbox.close()
+    }
+    const session: Session = { link, agent: undefined, lastSeenAt: performance.now(), ackedSeq: 0n }
     const timer = setInterval(() => {
       if (performance.now() - session.lastSeenAt > options.timeoutMs) return link.close()
       link.add(() => {})
@@ -86,6 +92,7 @@
     void read(frames, session)
     try {
       for await (const frame of outbox) {
+        frame.ackedSeq = session.ackedSeq
         countEntryFrame(metrics, frame)
         yield frame
       }
--- a/packages/platform/src/createHttpObjects.ts
+++ b/packages/platform/src/createHttpObjects.ts
@@ -1,6 +1,6 @@
 import { fail, ok } from '@hazellift/common'
-import { createHttpCaller } from './httpCall.js'
-import type { HttpStoreOptions } from './httpCall.js'
+import { createHttpCaller } from './createHttpCaller.js'
+import type { HttpStoreOptions } from './createHttpCaller.js'
 import type { ObjectStore } from './types.js'
 
 const pathOf = (name: string): string => `/v1/objects/${name.split('/').map(encodeURIComponent).join('/')}`
--- a/packages/platform/src/createHttpTable.ts
+++ b/packages/platform/src/createHttpTable.ts
@@ -7,8 +7,8 @@
 } from '@hazellift/protocol'
 import type { Row, TransactResponse } from '@hazellift/protocol'
 import type { StoreFault } from './errors.js'
-import { createHttpCaller } from './httpCall.js'
-import type { HttpStoreOptions } from './httpCall.js'
+import { createHttpCaller } from './createHttpCaller.js'
+import type { HttpStoreOptions } from './createHttpCaller.js'
 import type { TableRow, TableService, TableWrite, TransactOutcome } from './types.js'
 
 const toTableRow = ({ key, version, value }: Row): TableRow => ({ key, version, value })
