--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -3,6 +3,7 @@
 import { CollectedSchema, EndpointStateSchema, REASONS, ResumeSchema, TASK_OUTCOMES, TaskResultSchema } from '@hazellift/protocol'
 import type { AgentFrame, Collect, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
 import { SlotGranter } from '../slots/slotGranter.js'
+import { Mailboxes } from './mailboxes.js'
 import { TaskLedger } from './taskLedger.js'
 import type { TaskEntry } from './taskLedger.js'
 
@@ -39,13 +40,6 @@
   add: AddToFrame
 }
 
-/** Results for one incarnation of an entry; outlives its sessions. */
-interface Mailbox {
-  lastSeq: bigint
-  unacked: TaskResult[]
-  touchedAt: number
-}
-
 interface WaitingStart {
   entry: TaskEntry
   start: Start
@@ -66,7 +60,7 @@
   private readonly ledger: TaskLedger
   private readonly granter: SlotGranter
   private readonly sessions = new Map<string, HostSession>()
-  private readonly mailboxes = new Map<string, Mailbox>()
+  private readonly mailboxes: Mailboxes
   private readonly waiting: WaitingStart[] = []
   private endpoint = NO_ENDPOINT
   private running = 0
@@ -76,6 +70,7 @@
     const { clock, memoryMs, standingCredits } = options
     this.ledger = new TaskLedger(memoryMs, clock.now)
     this.granter = new SlotGranter(standingCredits)
+    this.mailboxes = new Mailboxes(clock.now)
   }
 
   /** Tasks that run or wait here. */
@@ -85,9 +80,7 @@
 
   /** Results that no entry has acknowledged yet. */
   get unacked (): number {
-    let count = 0
-    for (const { unacked } of this.mailboxes.values()) count += unacked.length
-    return count
+    return this.mailboxes.unackedCount
   }
 
   /**
@@ -97,7 +90,7 @@
   openSession (incarnation: string, add: AddToFrame): void {
     this.sessions.set(incarnation, { add })
     this.granter.addEntry(incarnation)
-    const unacked = this.mailbox(incarnation).unacked
+    const unacked = this.mailboxes.unackedOf(incarnation)
     const started = this.ledger.heldFor(incarnation)
     const held = [...started.filter(({ result }) => result === undefined), ...unacked].map(({ key }) => key!)
     add((frame) => {
@@ -122,7 +115,7 @@
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
     // A frame of a closed session may hold starts that its entry has sent elsewhere since.
     if (this.sessions.get(incarnation)?.add !== add) return
-    this.acknowledge(incarnation, frame.ackedSeq)
+    this.mailboxes.acknowledge(incarnation, frame.ackedSeq)
     if (frame.returnedCredits > 0) this.granter.returned(incarnation, frame.returnedCredits)
     for (const start of frame.starts) this.onStart(incarnation, start)
     for (const { workspace, submission, tasks } of frame.revokes) this.onRevoke(incarnation, workspace, submission, tasks)
@@ -174,9 +167,7 @@
   sweep (): void {
     this.ledger.sweep()
     const oldest = this.options.clock.now() - this.options.memoryMs
-    for (const [incarnation, box] of this.mailboxes) {
-      if (!this.sessions.has(incarnation) && box.touchedAt < oldest) this.mailboxes.delete(incarnation)
-    }
+    this.mailboxes.sweep((incarnation) => this.sessions.has(incarnation), oldest)
   }
 
   /** Fills in what every frame carries. */
@@ -298,17 +289,8 @@
     }
   }
 
-  private mailbox (incarnation: string): Mailbox {
-    const box = this.mailboxes.get(incarnation) ?? { lastSeq: 0n, unacked: [], touchedAt: 0 }
-    box.touchedAt = this.options.clock.now()
-    this.mailboxes.set(incarnation, box)
-    return box
-  }
-
   private deliver (incarnation: string, result: TaskResult): void {
-    const box = this.mailbox(incarnation)
-    result.seq = ++box.lastSeq
-    box.unacked.push(result)
+    this.mailboxes.put(incarnation, result)
     this.addResult(incarnation, result)
   }
 
@@ -316,12 +298,6 @@
     this.sessions.get(incarnation)?.add((frame) => { frame.results.push(result) })
   }
 
-  private acknowledge (incarnation: string, seq: bigint): void {
-    const box = this.mailboxes.get(incarnation)
-    if (box === undefined) return
-    while (box.unacked.length > 0 && box.unacked[0]!.seq <= seq) box.unacked.shift()
-  }
-
   /** Sends out the next credits; `renews` names the entries that hear from this agent anyway. */
   private grant (renews: (entry: string) => boolean = () => false, hears?: string): void {
     for (const { entry, credits } of this.granter.plan(renews, hears)) {
