--- a/tests/failures/workerFailures.test.ts
+++ b/tests/failures/workerFailures.test.ts
@@ -153,3 +153,14 @@
   await sleep(300)
   if (told.run === 'not run') expect(startsOf(cluster, 'waits')).toEqual([])
 }))
+
+test('answers that come late, out of order and after a cut go to nobody else, and change no answer', () => withCluster(async (cluster) => {
+  const late = await submit(cluster, { id: 'late', tasks: tasksOf(3, 1200), deadlineMs: 400 })
+  expect(late).toMatchObject({ state: 'failed', reason: 'deadline' })
+  const tasks = Array.from({ length: 12 }, (_, index) => ({ payload: JSON.stringify({ ms: 900 - index * 60, value: `own ${index}` }) }))
+  const told = submit(cluster, { id: 'reversed', tasks })
+  await sleep(500)
+  cluster.relays.sessions[0]!.cut()
+  expect((await told).results.map((result) => JSON.parse(result).value)).toEqual(tasks.map((_, index) => `own ${index}`))
+  expect(await submit(cluster, { id: 'late', tasks: tasksOf(3, 1200) }, { entry: 1 })).toMatchObject({ state: 'failed', reason: 'deadline' })
+}))
