--- a/tests/commands.test.ts
+++ b/tests/commands.test.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { REASONS } from '@hazellift/protocol'
-import { ADMIN_TOKEN, callerToken, operatorToken } from '@hazellift/standins'
+import { ADMIN_TOKEN, callerToken, operatorToken, startProgram } from '@hazellift/standins'
 import { expect, test } from 'vitest'
 import { useCluster } from './support.js'
 
@@ -45,6 +45,23 @@
   for (const text of says) expect(res.stderr).toContain(text)
 })
 
+test('an agent with a wrong cluster token gets no session', async () => {
+  const { session } = cluster().entries[0]!.facts as { session: string }
+  const agent = await startProgram({
+    name: 'stranger',
+    script: mainOf('agent'),
+    args: ['--agent-id', 'stranger', '--zone', 'z', '--agent-port', '0', '--seeds', session, '--cluster-token', 'wrong']
+  })
+  try {
+    await cluster().waitUntil('the refusal', () => agent.logLines().some((line) => line.includes('wrong cluster token')))
+    expect(agent.logLines().some((line) => line.includes('session_open'))).toBe(false)
+    expect(run('entry', ['status'], ADMIN_TOKEN).stdout).not.toContain('stranger')
+  } finally {
+    agent.kill('SIGKILL')
+    await agent.exited
+  }
+})
+
 test('--print-settings masks secrets', () => {
   const res = run('agent', ['--agent-id', 'a', '--zone', 'z', '--cluster-token', 'sesame', '--seeds', 'h:1', '--print-settings'])
   expect(res.status).toBe(0)
--- a/tests/failures/configRaces.test.ts
+++ b/tests/failures/configRaces.test.ts
@@ -1,18 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Cluster, operatorToken } from '@hazellift/standins'
+import { operatorToken } from '@hazellift/standins'
+import type { Cluster } from '@hazellift/standins'
 import { expect, test } from 'vitest'
-import { QUICK_AGENT_ARGS, QUICK_ENTRY_ARGS, call, submit, tasksOf } from '../support.js'
+import { call, clusterRunner, submit, tasksOf } from '../support.js'
 
 interface PutTold { status: number, version?: string, inForce?: string[], pending?: string[], currentVersion?: string }
 
-const withCluster = async (run: (cluster: Cluster) => Promise<void>): Promise<void> => {
-  const cluster = await Cluster.start({ entries: 3, workers: 1, entryArgs: [...QUICK_ENTRY_ARGS, '--config-poll-ms', '200'], agentArgs: QUICK_AGENT_ARGS })
-  try {
-    await run(cluster)
-  } finally {
-    await cluster.stop()
-  }
-}
+const withCluster = clusterRunner({ entries: 3, workers: 1, entryArgs: ['--config-poll-ms', '200'] })
 
 const policyUrl = (cluster: Cluster, entry: number): string => `${cluster.apiUrl(entry)}/v1/workspaces/florist/policy`
 
--- a/tests/failures/plannedStops.test.ts
+++ b/tests/failures/plannedStops.test.ts
@@ -1,18 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Cluster } from '@hazellift/standins'
+import type { Cluster } from '@hazellift/standins'
 import { expect, test } from 'vitest'
-import { QUICK_AGENT_ARGS, QUICK_ENTRY_ARGS, ask, submit, submitUntilFinal, tasksOf } from '../support.js'
+import { ask, clusterRunner, submit, submitUntilFinal, tasksOf } from '../support.js'
 import type { Told } from '../support.js'
 
-const withCluster = async (run: (cluster: Cluster) => Promise<void>): Promise<void> => {
-  const cluster = await Cluster.start({ entries: 3, workers: 4, slots: 4, entryArgs: QUICK_ENTRY_ARGS, agentArgs: QUICK_AGENT_ARGS })
-  try {
-    await run(cluster)
-    expect(cluster.startedTwice()).toEqual([])
-  } finally {
-    await cluster.stop()
-  }
-}
+const withCluster = clusterRunner({ entries: 3, workers: 4 })
 
 const isReady = async (cluster: Cluster, entry: number): Promise<boolean> => {
   try {
--- a/tests/failures/platformFailures.test.ts
+++ b/tests/failures/platformFailures.test.ts
@@ -1,19 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Cluster } from '@hazellift/standins'
 import { expect, test } from 'vitest'
-import { QUICK_AGENT_ARGS, QUICK_ENTRY_ARGS, ask, startsOf, submit, submitUntilFinal, tasksOf } from '../support.js'
+import { ask, clusterRunner, startsOf, submit, submitUntilFinal, tasksOf } from '../support.js'
 
-const withCluster = async (run: (cluster: Cluster) => Promise<void>): Promise<void> => {
-  const cluster = await Cluster.start({
-    entries: 2, workers: 3, slots: 4, relays: true, entryArgs: QUICK_ENTRY_ARGS, agentArgs: QUICK_AGENT_ARGS
-  })
-  try {
-    await run(cluster)
-    expect(cluster.startedTwice()).toEqual([])
-  } finally {
-    await cluster.stop()
-  }
-}
+const withCluster = clusterRunner({ relays: true })
 
 const AWAY = [{ mode: 'refuse' as const }, { mode: 'hang' as const }]
 
--- a/tests/failures/workerFailures.test.ts
+++ b/tests/failures/workerFailures.test.ts
@@ -1,19 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Cluster } from '@hazellift/standins'
 import { expect, test } from 'vitest'
-import { QUICK_AGENT_ARGS, QUICK_ENTRY_ARGS, cancel, startsOf, submit, tasksOf } from '../support.js'
-
-const withCluster = async (run: (cluster: Cluster) => Promise<void>, agentArgs: string[] = [], entryArgs: string[] = []): Promise<void> => {
-  const cluster = await Cluster.start({
-    entries: 2, workers: 3, slots: 4, relays: true, entryArgs: [...QUICK_ENTRY_ARGS, ...entryArgs], agentArgs: [...QUICK_AGENT_ARGS, ...agentArgs]
-  })
-  try {
-    await run(cluster)
-    expect(cluster.startedTwice()).toEqual([])
-  } finally {
-    await cluster.stop()
-  }
-}
+import { cancel, clusterRunner, startsOf, submit, tasksOf } from '../support.js'
+
+const withCluster = clusterRunner({ relays: true })
 
 test('an agent is killed with tasks in its hands: the job fails as "may have run"', () => withCluster(async (cluster) => {
   const told = submit(cluster, { id: 'agent-killed', tasks: tasksOf(10, 3000) })
@@ -101,7 +90,7 @@
   cluster.workers[0]!.endpoint.kill('SIGSTOP')
   expect(await told).toMatchObject({ state: 'failed', reason: 'task_failed', message: expect.stringContaining('lease_expired') })
   cluster.workers[0]!.endpoint.kill('SIGCONT')
-}, [], ['--lease-ms', '2000']))
+}, { entryArgs: ['--lease-ms', '2000'] }))
 
 test('an endpoint withdraws: it gets no new task, and what it runs is answered', () => withCluster(async (cluster) => {
   const told = submit(cluster, { id: 'withdraws', tasks: tasksOf(60, 300) })
--- a/tests/support.ts
+++ b/tests/support.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Cluster, callerToken } from '@hazellift/standins'
 import type { ClusterOptions } from '@hazellift/standins'
-import { afterAll, beforeAll } from 'vitest'
+import { afterAll, beforeAll, expect } from 'vitest'
 
 /** What a caller was told about a job. */
 export interface Told {
@@ -103,3 +103,29 @@
   afterAll(async () => { await cluster?.stop() })
   return () => cluster!
 }
+
+/** Runs a test against a cluster of its own, and checks at its end that no task started twice. */
+export type WithCluster = (run: (cluster: Cluster) => Promise<void>, more?: Partial<ClusterOptions>) => Promise<void>
+
+/**
+ * Makes a runner of tests that break their cluster.
+ *
+ * @param options - what each cluster is made of
+ */
+export const clusterRunner = (options: Partial<ClusterOptions> = {}): WithCluster => async (run, more = {}) => {
+  const { entryArgs = [], agentArgs = [], ...others } = { ...options, ...more }
+  const cluster = await Cluster.start({
+    entries: 2,
+    workers: 3,
+    slots: 4,
+    ...others,
+    entryArgs: [...QUICK_ENTRY_ARGS, ...entryArgs],
+    agentArgs: [...QUICK_AGENT_ARGS, ...agentArgs]
+  })
+  try {
+    await run(cluster)
+    expect(cluster.startedTwice()).toEqual([])
+  } finally {
+    await cluster.stop()
+  }
+}
