"Not run" during an outage of the table is said on proof only

Looking into what the lookup takes for proof showed three cases in which it said "not run" of a job that had run, each with a test that failed first: an entry stopped gracefully (its memory is gone, the table away); an entry killed and started again at its old address (the new process answered for the old); an entry that joined and ran the job while the one asked was cut off from the table.

Change: the rows seen and what they prove stand in EntryRoster. A stale row is no end; a graceful stop is one, and its row stays. Answers name the process that gives them and whether its memory is whole. A new entry makes itself known before its first claim, so a view of the rows that is younger than the stale time is complete; an older one proves nothing. So that this does not cost callers the certainty in long outages they may mark a submission as their first attempt. Reads of the directory no longer wait for its writes.

The test "the table is away: refused as not run" runs with the default's ratio of stale time to claim timeout (4:1, was 1:1), its assertions unchanged: at 1:1 the view is too old to prove anything. A test of the long outage is added.

--- a/packages/coordination/src/entries/entryDirectory.ts
+++ b/packages/coordination/src/entries/entryDirectory.ts
@@ -2,58 +2,49 @@
 import type { Clock } from '@hazellift/common'
 import { EntryRecordSchema } from '@hazellift/protocol'
 import type { EntryRecord } from '@hazellift/protocol'
-import type { GroupCommit, TableRow, TableService } from '@hazellift/platform'
-
-/** Prefix of the rows by which entries show that they live. */
-export const ENTRY_PREFIX = 'entry/'
-
-/** An entry as this one sees it. */
-export interface KnownEntry {
-  record: EntryRecord
-  version: bigint
-  /** Time that the row stayed unchanged, counted only between reads that succeeded, in ms. */
-  unchangedMs: number
-}
+import type { CommitOutcome, GroupCommit, TableRow, TableService } from '@hazellift/platform'
+import { ENTRY_PREFIX, EntryRoster } from './entryRoster.js'
+import type { KnownEntry } from './entryRoster.js'
 
 /** What the directory needs. */
 export interface EntryDirectoryOptions {
-  table: TableService
-  group: GroupCommit
+  table: Pick<TableService, 'scan'>
+  group: Pick<GroupCommit, 'commit'>
   clock: Clock
   /** Who this entry is, with its addresses. */
   self: () => Pick<EntryRecord, 'entryId' | 'incarnation' | 'apiAddress' | 'sessionAddress'>
   heartbeatMs: number
   staleAfterMs: number
+  /** How long the rows of entries that ended or fell silent stay, in ms. */
+  rowMemoryMs: number
   configVersion: () => bigint
   /** Called when the set of live entries changed. */
   onChange: () => void
 }
 
 const MAX_ENTRIES = 1000
-/** A stale row is removed after this many times its stale time. */
-const REMOVE_FACTOR = 20
 const HEARTBEAT_DEADLINES = 2
 
 /** Keeps this entry's row fresh and watches the rows of the others. */
 export class EntryDirectory {
-  private readonly known = new Map<string, KnownEntry>()
+  private readonly roster: EntryRoster
+  /** Unset while the table cannot be read. */
   private lastScanAt: number | undefined
+  private readAt = -Infinity
   private ownVersion = 0n
   private beat = 0n
   private leaving = false
   private stopped = false
   private liveKey = ''
   private replaced = false
-  private ungracefulEndAt = -Infinity
 
-  constructor (private readonly options: EntryDirectoryOptions) {}
+  constructor (private readonly options: EntryDirectoryOptions) {
+    this.roster = new EntryRoster({ ...options, now: options.clock.now })
+  }
 
   /** Entries whose rows change, this one included. */
   get live (): EntryRecord[] {
-    return [...this.known.values()]
-      .filter(({ record, unchangedMs }) => record.entryId !== this.options.self().entryId && unchangedMs < this.options.staleAfterMs)
-      .map(({ record }) => record)
-      .concat(this.ownRecord())
+    return [...this.roster.live, this.ownRecord()]
   }
 
   /** True once the own row stands and the others' were read. */
@@ -63,7 +54,12 @@
 
   /** Live entries but for this one. */
   get peers (): EntryRecord[] {
-    return this.live.filter(({ entryId }) => entryId !== this.options.self().entryId)
+    return this.roster.live
+  }
+
+  /** Other entries that are not known to have ended, with or without a fresh row. */
+  get others (): EntryRecord[] {
+    return this.roster.others
   }
 
   /** Live entries that take work, this one included. */
@@ -71,37 +67,48 @@
     return this.live.filter(({ leaving }) => !leaving)
   }
 
+  /** Ms since all entries' rows were last read. */
+  get sinceReadMs (): number {
+    return this.options.clock.now() - this.readAt
+  }
+
+  /** Ms since an entry was last seen to have ended; what it held in memory is gone. */
+  get sinceEndMs (): number {
+    return this.roster.sinceEndMs
+  }
+
   /** The live entry with this incarnation, if its row does not say otherwise. */
   find (entryId: string, incarnation: string): EntryRecord | undefined {
-    const entry = this.known.get(entryId)
-    return entry?.record.incarnation === incarnation ? entry.record : undefined
+    return this.roster.find(entryId, incarnation)
   }
 
   /** True if the incarnation's row is replaced, gone or unchanged for too long. */
   isStale (entryId: string, incarnation: string): boolean {
-    if (this.lastScanAt === undefined) return false
-    const entry = this.known.get(entryId)
-    if (entry === undefined || entry.record.incarnation !== incarnation) return true
-    return entry.unchangedMs >= this.options.staleAfterMs
+    return this.lastScanAt !== undefined && this.roster.isStale(entryId, incarnation)
   }
 
-  /** Ms since an entry was last seen to have ended without a graceful stop. */
-  get sinceUngracefulEndMs (): number {
-    return this.options.clock.now() - this.ungracefulEndAt
+  /** An entry that joins tells of itself before it claims anything. */
+  introduce (record: EntryRecord): void {
+    this.roster.introduce(record)
+    this.announceChange()
   }
 
-  /** Runs until `stop`; resolves then. */
-  async run (): Promise<void> {
-    const { clock, heartbeatMs } = this.options
-    while (!this.stopped) {
-      await this.beatOnce()
-      await clock.sleep(heartbeatMs)
-    }
+  /** This entry as its row shows it. */
+  ownRecord (): EntryRecord {
+    const { self, configVersion } = this.options
+    return create(EntryRecordSchema, {
+      ...self(),
+      beat: this.beat,
+      leaving: this.leaving,
+      configVersion: configVersion(),
+      replaced: this.replaced,
+      ended: this.stopped
+    })
   }
 
-  /** Writes the own row and reads all rows, once. */
-  async beatOnce (): Promise<void> {
-    await Promise.all([this.write(), this.refresh()])
+  /** Runs until `stop`; resolves then. Reads go on while writes are held up. */
+  async run (): Promise<void> {
+    await Promise.all([this.repeat(() => this.write()), this.repeat(() => this.refresh())])
   }
 
   /** Shows in the table that this entry takes no new work. */
@@ -110,28 +117,55 @@
     await this.write()
   }
 
-  /** Removes the own row; peers need not wait for it to go stale. */
+  /** Shows in the table that this entry has ended; peers need not wait for its row to go stale. */
   async stop (): Promise<void> {
     this.stopped = true
-    const { group, clock, self, heartbeatMs } = this.options
-    const key = ENTRY_PREFIX + self().entryId
-    await group.commit({ key, ifVersion: this.ownVersion, value: undefined }, clock.now() + heartbeatMs)
+    await this.commitOwnRow(this.options.heartbeatMs)
   }
 
-  private ownRecord (): EntryRecord {
-    const { self, configVersion } = this.options
-    return create(EntryRecordSchema, { ...self(), beat: this.beat, leaving: this.leaving, configVersion: configVersion(), replaced: this.replaced })
+  /**
+   * Reads all rows now.
+   *
+   * @returns false if the table did not answer
+   */
+  async refresh (): Promise<boolean> {
+    const { table, clock, heartbeatMs } = this.options
+    const startedAt = clock.now()
+    const res = await table.scan(ENTRY_PREFIX, '', MAX_ENTRIES)
+    if (!res.ok) {
+      // Rows cannot change while the table is away; that time must not count against anybody.
+      this.lastScanAt = undefined
+      return false
+    }
+    const elapsedMs = this.lastScanAt === undefined ? 0 : clock.now() - this.lastScanAt
+    this.lastScanAt = clock.now()
+    this.readAt = startedAt
+    this.roster.apply(res.value, Math.min(elapsedMs, heartbeatMs * 2))
+    for (const entry of this.roster.unchangedFor(this.options.rowMemoryMs)) void this.removeRow(entry)
+    this.announceChange()
+    return true
+  }
+
+  private async repeat (pass: () => Promise<unknown>): Promise<void> {
+    while (!this.stopped) {
+      await pass()
+      await this.options.clock.sleep(this.options.heartbeatMs)
+    }
   }
 
   private async write (): Promise<void> {
-    const { group, clock, self, heartbeatMs } = this.options
-    this.beat++
-    const write = { key: ENTRY_PREFIX + self().entryId, ifVersion: this.ownVersion, value: toBinary(EntryRecordSchema, this.ownRecord()) }
-    const outcome = await group.commit(write, clock.now() + heartbeatMs * HEARTBEAT_DEADLINES)
+    const outcome = await this.commitOwnRow(this.options.heartbeatMs * HEARTBEAT_DEADLINES)
     if (outcome.type === 'committed') this.ownVersion = outcome.version
     if (outcome.type === 'conflict') await this.onRowConflict(outcome.row)
   }
 
+  private commitOwnRow (timeoutMs: number): Promise<CommitOutcome> {
+    this.beat++
+    const record = this.ownRecord()
+    const write = { key: ENTRY_PREFIX + record.entryId, ifVersion: this.ownVersion, value: toBinary(EntryRecordSchema, record) }
+    return this.options.group.commit(write, this.options.clock.now() + timeoutMs)
+  }
+
   /** The row of this entry's earlier process, or an own write whose outcome stayed unknown. */
   private async onRowConflict (row: TableRow): Promise<void> {
     const isOther = row.version !== 0n &&
@@ -142,46 +176,9 @@
     if (isFirst) await this.write()
   }
 
-  /** Reads all rows now. */
-  async refresh (): Promise<void> {
-    const { table, clock } = this.options
-    const res = await table.scan(ENTRY_PREFIX, '', MAX_ENTRIES)
-    if (!res.ok) {
-      // Rows cannot change while the table is away; that time must not count against anybody.
-      this.lastScanAt = undefined
-      return
-    }
-    const elapsedMs = this.lastScanAt === undefined ? 0 : clock.now() - this.lastScanAt
-    this.lastScanAt = clock.now()
-    this.apply(res.value, Math.min(elapsedMs, this.options.heartbeatMs * 2))
-    this.announceChange()
-  }
-
-  private apply (rows: TableRow[], elapsedMs: number): void {
-    const keys = new Set(rows.map(({ key }) => key.slice(ENTRY_PREFIX.length)))
-    for (const id of this.known.keys()) if (!keys.has(id)) this.known.delete(id)
-    for (const row of rows) this.applyRow(row, elapsedMs)
-  }
-
-  private applyRow (row: TableRow, elapsedMs: number): void {
-    const record = fromBinary(EntryRecordSchema, row.value)
-    const before = this.known.get(record.entryId)
-    const unchangedMs = before?.version === row.version ? before.unchangedMs + elapsedMs : 0
-    if (this.showsUngracefulEnd(record, before, unchangedMs)) this.ungracefulEndAt = this.options.clock.now()
-    this.known.set(record.entryId, { record, version: row.version, unchangedMs })
-    const isOld = unchangedMs > this.options.staleAfterMs * REMOVE_FACTOR
-    if (isOld && record.entryId !== this.options.self().entryId) void this.removeRow(row)
-  }
-
-  private showsUngracefulEnd (record: EntryRecord, before: KnownEntry | undefined, unchangedMs: number): boolean {
-    const isNew = before?.record.incarnation !== record.incarnation
-    const wentStale = unchangedMs >= this.options.staleAfterMs && before!.unchangedMs < this.options.staleAfterMs
-    return (isNew && record.replaced) || wentStale
-  }
-
-  private async removeRow ({ key, version }: TableRow): Promise<void> {
+  private async removeRow ({ record, version }: KnownEntry): Promise<void> {
     const { group, clock, heartbeatMs } = this.options
-    await group.commit({ key, ifVersion: version, value: undefined }, clock.now() + heartbeatMs)
+    await group.commit({ key: ENTRY_PREFIX + record.entryId, ifVersion: version, value: undefined }, clock.now() + heartbeatMs)
   }
 
   private announceChange (): void {
--- a/packages/coordination/src/jobs/answerWindow.ts
+++ b/packages/coordination/src/jobs/answerWindow.ts
@@ -29,9 +29,15 @@
 export class AnswerWindow {
   private readonly answers = new Map<string, StoredAnswer>()
   private bytes = 0
+  private droppedEarlyAt = -Infinity
 
   constructor (private readonly options: AnswerWindowOptions) {}
 
+  /** True if every answer younger than `maxMs` is here. */
+  get isWhole (): boolean {
+    return this.options.now() - this.droppedEarlyAt > this.options.maxMs
+  }
+
   /** Remembers an answer. */
   add (key: string, remembered: RememberedAnswer): void {
     this.delete(key)
@@ -51,6 +57,7 @@
     const oldest = this.options.now() - this.options.maxMs
     for (const [key, { at }] of this.answers) {
       if (at >= oldest && this.bytes <= this.options.maxBytes) return
+      if (at >= oldest) this.droppedEarlyAt = this.options.now()
       this.delete(key)
     }
   }
--- a/packages/coordination/src/jobs/bodyHash.ts
+++ b/packages/coordination/src/jobs/bodyHash.ts
@@ -3,7 +3,7 @@
 
 /**
  * Hash of what makes two submissions of one id the same. The deadline is left
- * out, as a resubmission has less time left, and so are declared run times.
+ * out, as a resubmission has less time left, and so is whether it is one.
  *
  * @param spec - the submission
  * @returns SHA-256
--- a/packages/coordination/src/jobs/jobService.ts
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -36,6 +36,8 @@
   observeClaim: (outcome: string) => void
   /** False while the table is known to be away. */
   isStoreUp: () => boolean
+  /** False until every other entry knows of this one. */
+  mayClaim: () => boolean
 }
 
 /** A peer's question answered from memory. */
@@ -43,10 +45,14 @@
   kind: PeerAnswer
   answer?: Extract<JobNews, { type: 'answer' }>['answer']
   bodyHash: Uint8Array
+  incarnation: string
+  memoryWhole: boolean
 }
 
 const UNSAVED_RETRY_MS = 1000
 const NO_HASH = new Uint8Array()
+/** Part of the stale time up to which a read counts as fresh; entries announce themselves for all of it. */
+const FRESH_SHARE = 0.75
 
 const unsavedReply: JobReply = refuse(REASONS.answerUnsaved,
   'the job is over, but its final state is not saved yet; ask again', RUN_STATES.mayHaveRun, UNSAVED_RETRY_MS)
@@ -65,7 +71,12 @@
   constructor (private readonly options: JobServiceOptions) {
     this.attachment = new Attachment({ ...options, ownAnswer: (claim) => this.ownAnswer(claim) })
     this.starter = new JobStarter(options)
-    this.outage = new OutageLookup({ ...options, memoryMs: options.answerWindowMs })
+    this.outage = new OutageLookup({
+      ...options,
+      memoryMs: options.answerWindowMs,
+      freshMs: options.staleAfterMs * FRESH_SHARE,
+      isMemoryWhole: () => options.owned.isMemoryWhole
+    })
   }
 
   /** Claims being written and jobs not over. */
@@ -93,10 +104,10 @@
     if (local !== undefined) return local
     const deadlineMs = spec.deadlineMs || this.options.defaultDeadlineMs
     const admitted = this.admit(config, spec, deadlineMs)
-    if (admitted.type === 'refused') return this.refuseUnlessKnown(workspace, spec.id, hash, until, admitted)
+    if (admitted.type === 'refused') return this.refuseUnlessKnown(workspace, spec, hash, until, admitted)
     const job: AdmittedJob = { workspace, spec, hash, decision: admitted.decision, deadlineMs }
     const outcome = await this.whileClaiming(key, this.claim(job))
-    if (outcome.type === 'refused') return this.refuseUnlessKnown(workspace, spec.id, hash, until, outcome)
+    if (outcome.type === 'refused') return this.refuseUnlessKnown(workspace, spec, hash, until, outcome)
     if (outcome.type === 'local') return this.waitLocal(key, hash, until)
     return this.attach(outcome.claim, hash, until, job)
   }
@@ -133,18 +144,19 @@
   async answerPeer (query: PeerQuery): Promise<LocalFinding> {
     const key = submissionKey(query.workspace, query.submission)
     await this.claiming.get(key)
-    const { owned } = this.options
+    const { owned, incarnation } = this.options
+    const memory = { incarnation, memoryWhole: owned.isMemoryWhole }
     const claim = owned.claimOf(key)
     if (claim !== undefined && (query.nonce === '' || query.nonce === claim.record.nonce)) {
       const news = await owned.wait(key, query.waitMs)
       const { bodyHash } = claim.record
-      if (news.type === 'answer') return { kind: PEER_ANSWERS.final, answer: news.answer, bodyHash }
-      return { kind: PEER_ANSWERS.pending, bodyHash }
+      if (news.type === 'answer') return { kind: PEER_ANSWERS.final, answer: news.answer, bodyHash, ...memory }
+      return { kind: PEER_ANSWERS.pending, bodyHash, ...memory }
     }
     const remembered = owned.answerOf(key)
-    if (remembered !== undefined) return { kind: PEER_ANSWERS.final, ...remembered }
+    if (remembered !== undefined) return { kind: PEER_ANSWERS.final, ...remembered, ...memory }
     const kind = this.starter.isReleased(query.nonce) ? PEER_ANSWERS.released : PEER_ANSWERS.unknown
-    return { kind, bodyHash: NO_HASH }
+    return { kind, bodyHash: NO_HASH, ...memory }
   }
 
   /** Cancels for a peer. */
@@ -157,6 +169,7 @@
 
   private admit (config: WorkspaceConfig, spec: JobSpec, deadlineMs: number): ReturnType<Admission['check']> {
     if (this.stopping) return refuse(REASONS.stopping, 'this entry is stopping', RUN_STATES.notRun, STORE_RETRY_MS)
+    if (!this.options.mayClaim()) return refuse(REASONS.notReady, 'this entry is not known to the others yet', RUN_STATES.notRun, STORE_RETRY_MS)
     if (!this.options.isStoreUp()) return refuse(REASONS.storeDown, 'the table service does not answer', RUN_STATES.notRun, STORE_RETRY_MS)
     return this.options.admission.check(config, spec, deadlineMs)
   }
@@ -240,12 +253,12 @@
   }
 
   /** A refusal may say "not run" only of a submission that nobody has claimed. */
-  private async refuseUnlessKnown (workspace: string, id: string, hash: Uint8Array, until: number, refusal: Refusal): Promise<JobReply> {
+  private async refuseUnlessKnown (workspace: string, { id, firstAttempt }: JobSpec, hash: Uint8Array, until: number, refusal: Refusal): Promise<JobReply> {
     const claim = this.options.isStoreUp() ? await this.options.claims.read(workspace, id) : undefined
     if (claim?.ok === true && claim.value !== undefined && !this.starter.isReleased(claim.value.record.nonce)) {
       return this.attach(claim.value, hash, until)
     }
-    if (claim?.ok === true) return refusal
+    if (claim?.ok === true || firstAttempt) return refusal
     const waitMs = Math.max(0, until - this.options.clock.now())
     const finding = await this.outage.find(workspace, id, hash, waitMs)
     return finding.type === 'reply' ? finding.reply : { ...refusal, run: finding.run }
--- a/packages/coordination/src/jobs/outageLookup.ts
+++ b/packages/coordination/src/jobs/outageLookup.ts
@@ -11,9 +11,13 @@
 export interface OutageLookupOptions {
   clock: Clock
   peers: PeerCalls
-  directory: Pick<EntryDirectory, 'peers' | 'sinceUngracefulEndMs'>
+  directory: Pick<EntryDirectory, 'others' | 'sinceReadMs' | 'sinceEndMs'>
   /** How long entries remember their jobs, in ms. */
   memoryMs: number
+  /** Age up to which the last read shows every entry that may claim; less than their announcement waits, in ms. */
+  freshMs: number
+  /** True if this entry itself has dropped no answer early. */
+  isMemoryWhole: () => boolean
 }
 
 /** A job found at a peer, or what can be said about one that was not found. */
@@ -23,15 +27,22 @@
 
 interface PeerFinding {
   address: string
+  /** The process that was meant to answer. */
+  incarnation: string
   response: AwaitResponse | undefined
 }
 
 const KNOWN_KINDS: ReadonlySet<string> = new Set([PEER_ANSWERS.final, PEER_ANSWERS.pending])
 
+/** The process that was meant has answered, and has every answer of the window. */
+const isProof = ({ incarnation, response }: PeerFinding): boolean =>
+  response?.incarnation === incarnation && response.memoryWhole
+
 /**
- * Looks for a submission while the table cannot be read, by asking every peer
- * for its memory. Only if all of them answer, and none was lost lately, can it
- * be said that nothing of the submission ran.
+ * Looks for a submission while the table cannot be read, by asking every other
+ * entry for its memory. That nothing of the submission ran can be said only if
+ * every entry that may have run it is known and answers from a whole memory,
+ * and none has ended within the memory's length.
  */
 export class OutageLookup {
   constructor (private readonly options: OutageLookupOptions) {}
@@ -43,8 +54,8 @@
    * @param waitMs - how long to wait for the answer of a job found
    */
   async find (workspace: string, submission: string, hash: Uint8Array | undefined, waitMs: number): Promise<OutageFinding> {
-    const findings = await Promise.all(this.options.directory.peers.map(({ sessionAddress }) =>
-      this.ask(sessionAddress, workspace, submission, 0)))
+    const findings = await Promise.all(this.options.directory.others.map(async ({ sessionAddress, incarnation }) =>
+      ({ address: sessionAddress, incarnation, response: await this.ask(sessionAddress, workspace, submission, 0) })))
     const owner = findings.find(({ response }) => KNOWN_KINDS.has(response?.kind ?? ''))
     if (owner === undefined) return { type: 'absent', run: this.runStateOf(findings) }
     const isOther = hash !== undefined && !isSameBody(owner.response!.bodyHash, hash)
@@ -52,21 +63,22 @@
     return { type: 'reply', reply: await this.waitAt(owner, workspace, submission, waitMs) }
   }
 
-  private async ask (address: string, workspace: string, submission: string, waitMs: number): Promise<PeerFinding> {
+  private async ask (address: string, workspace: string, submission: string, waitMs: number): Promise<AwaitResponse | undefined> {
     const res = await this.options.peers.await(address, { workspace, submission, nonce: '', waitMs })
-    return { address, response: res.ok ? res.value : undefined }
+    return res.ok ? res.value : undefined
   }
 
   private runStateOf (findings: PeerFinding[]): RunState {
-    const isSure = findings.every(({ response }) => response !== undefined) &&
-      this.options.directory.sinceUngracefulEndMs > this.options.memoryMs
+    const { directory, memoryMs, freshMs, isMemoryWhole } = this.options
+    const isEveryEntryKnown = directory.sinceReadMs < freshMs && directory.sinceEndMs > memoryMs
+    const isSure = isEveryEntryKnown && isMemoryWhole() && findings.every(isProof)
     return isSure ? RUN_STATES.notRun : RUN_STATES.mayHaveRun
   }
 
   private async waitAt ({ address, response }: PeerFinding, workspace: string, submission: string, waitMs: number): Promise<JobReply> {
     if (response!.answer !== undefined) return { type: 'answer', answer: response!.answer }
     if (waitMs <= 0) return { type: 'pending' }
-    const { response: later } = await this.ask(address, workspace, submission, waitMs)
+    const later = await this.ask(address, workspace, submission, waitMs)
     return later?.answer !== undefined ? { type: 'answer', answer: later.answer } : { type: 'pending' }
   }
 }
--- a/packages/coordination/src/jobs/ownedJobs.ts
+++ b/packages/coordination/src/jobs/ownedJobs.ts
@@ -83,6 +83,11 @@
     return this.answers.find(key)
   }
 
+  /** True if every answer younger than the window is remembered. */
+  get isMemoryWhole (): boolean {
+    return this.answers.isWhole
+  }
+
   /** Forgets answers that are old. */
   trim (): void {
     this.answers.trim()
--- a/packages/entry/src/cli/jobCommands.ts
+++ b/packages/entry/src/cli/jobCommands.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { create, fromJsonString } from '@bufbuild/protobuf'
 import { EXIT_CODES } from '@hazellift/common'
-import { JOB_STATES, JobAnswerSchema, JobSpecSchema } from '@hazellift/protocol'
+import { JOB_STATES, JobAnswerSchema, JobSpecSchema, RUN_STATES } from '@hazellift/protocol'
 import type { JobAnswer, JobSpec } from '@hazellift/protocol'
 import { Command, InvalidArgumentError } from 'commander'
 import { ulid } from 'ulid'
@@ -87,7 +87,8 @@
     tasks: payloads.map((payload) => ({ payload })),
     unrepeatable: options.unrepeatable,
     deadlineMs: options.deadlineMs,
-    labels: options.label
+    labels: options.label,
+    firstAttempt: options.id === undefined
   })
 }
 
@@ -95,16 +96,21 @@
 const mayResubmit = (fault: ApiFault): boolean =>
   fault.type === 'unreachable' || (fault.status >= 500 && fault.body.retryAfterMs > 0)
 
+const isNotRun = (fault: ApiFault): boolean => fault.type === 'error' && fault.body.run === RUN_STATES.notRun
+
 const submit = async (options: SubmitOptions): Promise<void> => {
   const client = clientOf(options)
   const spec = specOf(options)
   const path = `/v1/workspaces/${options.workspace}/jobs`
   const waitMs = Math.min(options.waitMs, WAIT_CHUNK_MS)
-  const body = toBody(JobSpecSchema, spec)
-  let res = await client.send({ method: 'POST', path: `${path}?waitMs=${waitMs}`, body, timeoutMs: waitMs + WAIT_MARGIN_MS })
+  const send = () => client.send({
+    method: 'POST', path: `${path}?waitMs=${waitMs}`, body: toBody(JobSpecSchema, spec), timeoutMs: waitMs + WAIT_MARGIN_MS
+  })
+  let res = await send()
   for (let again = 0; again < options.resubmit && !res.ok && mayResubmit(res.err); again++) {
     await sleep(res.err.type === 'error' ? res.err.body.retryAfterMs : DEFAULT_RETRY_MS)
-    res = await client.send({ method: 'POST', path: `${path}?waitMs=${waitMs}`, body, timeoutMs: waitMs + WAIT_MARGIN_MS })
+    spec.firstAttempt &&= isNotRun(res.err)
+    res = await send()
   }
   if (!res.ok) return printFault(res.err)
   if (!options.json && res.value.status === 202) process.stderr.write(`job ${spec.id} runs\n`)
--- a/packages/entry/src/createEntryParts.ts
+++ b/packages/entry/src/createEntryParts.ts
@@ -1,7 +1,7 @@
 import { createBackoff, createLogger, createMetrics, systemClock } from '@hazellift/common'
 import type { Clock, Metrics } from '@hazellift/common'
 import {
-  Admission, ClaimStore, ConfigStore, ConfigWatch, Dispatcher, EntryDirectory, JOB_ORDERS, JobService, OwnedJobs, PICK_RULES
+  Admission, ClaimStore, ConfigStore, ConfigWatch, Dispatcher, EntryAnnouncement, EntryDirectory, JOB_ORDERS, JobService, OwnedJobs, PICK_RULES
 } from '@hazellift/coordination'
 import type { DispatchEvents, JobOrder, PickRule } from '@hazellift/coordination'
 import { GroupCommit, createHttpObjects, createHttpTable } from '@hazellift/platform'
@@ -26,6 +26,7 @@
   /** Filled in once the servers listen. */
   addresses: { api: string, session: string }
   directory: EntryDirectory
+  announcement: EntryAnnouncement
   watch: ConfigWatch
   owned: OwnedJobs
   jobs: JobService
@@ -135,6 +136,7 @@
     self: () => ({ entryId, incarnation, apiAddress: addresses.api, sessionAddress: addresses.session }),
     heartbeatMs: settings.heartbeatMs,
     staleAfterMs: settings.staleAfterMs,
+    rowMemoryMs: settings.answerWindowMs,
     configVersion: () => watch.version,
     onChange: onEntries
   })
@@ -154,7 +156,7 @@
 }
 type EntryCore = ReturnType<typeof createCore>
 
-const createJobService = (settings: EntrySettings, { entryId, incarnation }: Identity, core: EntryCore, peers: PeerClients) => new JobService({
+const createJobService = (settings: EntrySettings, { entryId, incarnation }: Identity, core: EntryCore, peers: PeerClients, announcement: EntryAnnouncement) => new JobService({
   ...core,
   clock: systemClock,
   peers,
@@ -166,7 +168,8 @@
   staleAfterMs: settings.staleAfterMs,
   answerWindowMs: settings.answerWindowMs,
   observeClaim: (outcome) => core.metrics.claims.inc({ outcome }),
-  isStoreUp: () => core.group.isUp
+  isStoreUp: () => core.group.isUp,
+  mayClaim: () => announcement.isDone
 })
 
 const addGauges = ({ gauge }: Metrics, { dispatcher, watch }: EntryCore): void => {
@@ -218,8 +221,9 @@
     timeoutMs: settings.sessionTimeoutMs,
     entryAddresses: () => directory.serving.map(({ sessionAddress }) => sessionAddress)
   })
-  const jobs = createJobService(settings, identity, core, peers)
-  const readiness = new Readiness({ clock, watch, dispatcher, directory, peers, warmUpMs: settings.heartbeatMs * WARM_UP_HEARTBEATS })
+  const announcement = new EntryAnnouncement({ clock, directory, introduce: peers.introduce, seenAfterMs: settings.staleAfterMs })
+  const jobs = createJobService(settings, identity, core, peers, announcement)
+  const readiness = new Readiness({ clock, watch, dispatcher, directory, announcement, peers, warmUpMs: settings.heartbeatMs * WARM_UP_HEARTBEATS })
   const view = createView(identity, core, peers, readiness)
   const spread = new ConfigSpread({ clock, entryId: identity.entryId, watch, directory, peers })
   addGauges(base, core)
@@ -227,6 +231,7 @@
     clock,
     addresses: identity.addresses,
     directory,
+    announcement,
     watch,
     owned,
     jobs,
--- a/packages/entry/src/operations/readiness.ts
+++ b/packages/entry/src/operations/readiness.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@hazellift/common'
-import type { ConfigWatch, Dispatcher, EntryDirectory } from '@hazellift/coordination'
+import type { ConfigWatch, Dispatcher, EntryAnnouncement, EntryDirectory } from '@hazellift/coordination'
 import type { PeerClients } from '../peers/peerClients.js'
 
 /** What readiness depends on. */
@@ -7,7 +7,8 @@
   clock: Clock
   watch: ConfigWatch
   dispatcher: Dispatcher
-  directory: Pick<EntryDirectory, 'peers' | 'isEntered'>
+  directory: Pick<EntryDirectory, 'peers'>
+  announcement: Pick<EntryAnnouncement, 'isDone'>
   peers: Pick<PeerClients, 'status'>
   /** Longest wait for agents to find this entry, in ms. */
   warmUpMs: number
@@ -16,8 +17,8 @@
 const CHECK_MS = 100
 
 /**
- * An entry is ready once it has the configuration in force and as many agents
- * as its peers have, or has waited long enough for them.
+ * An entry is ready once it has the configuration in force, is known to the
+ * others, and has as many agents as they have or has waited long enough for them.
  */
 export class Readiness {
   private warm = false
@@ -37,9 +38,9 @@
 
   /** Resolves once the entry is ready for the first time. */
   async warmUp (): Promise<void> {
-    const { clock, watch, directory, warmUpMs } = this.options
+    const { clock, watch, announcement, warmUpMs } = this.options
     const until = clock.now() + warmUpMs
-    while (!watch.isLoaded || !directory.isEntered || (clock.now() < until && !await this.hasAgents())) await clock.sleep(CHECK_MS)
+    while (!watch.isLoaded || !announcement.isDone || (clock.now() < until && !await this.hasAgents())) await clock.sleep(CHECK_MS)
     this.warm = true
   }
 
--- a/packages/entry/src/peers/peerClients.ts
+++ b/packages/entry/src/peers/peerClients.ts
@@ -5,7 +5,7 @@
 import type { Result } from '@hazellift/common'
 import type { PeerCalls, PeerFault } from '@hazellift/coordination'
 import { CLUSTER_TOKEN_HEADER, PeerService } from '@hazellift/protocol'
-import type { StatusResponse } from '@hazellift/protocol'
+import type { EntryRecord, StatusResponse } from '@hazellift/protocol'
 
 const CALL_TIMEOUT_MS = 1000
 
@@ -27,6 +27,12 @@
     this.call(waitMs + CALL_TIMEOUT_MS, (timeoutMs) =>
       this.client(address).cancel({ workspace, submission, nonce }, { timeoutMs }))
 
+  /** Tells a peer of this entry; gives the peer's incarnation if it answered. */
+  introduce = async (address: string, entry: EntryRecord): Promise<string | undefined> => {
+    const res = await this.call(CALL_TIMEOUT_MS, (timeoutMs) => this.client(address).introduce({ entry }, { timeoutMs }))
+    return res.ok ? res.value.incarnation : undefined
+  }
+
   /** Tells a peer of a newer configuration; gives the version it has in force then. */
   configChanged = async (address: string, version: bigint): Promise<bigint | undefined> => {
     const res = await this.call(CALL_TIMEOUT_MS, (timeoutMs) => this.client(address).configChanged({ version }, { timeoutMs }))
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -49,7 +49,7 @@
     interceptors: [requireClusterToken(settings.clusterToken)],
     routes: (router) => {
       router.service(SessionService, parts.sessions.service)
-      router.service(PeerService, createPeerService(parts.jobs, parts.watch, parts.view))
+      router.service(PeerService, createPeerService(parts.jobs, parts.directory, parts.watch, parts.view))
     }
   }))
 
@@ -79,11 +79,13 @@
     }
   }
   void parts.directory.run()
+  void parts.announcement.run()
   void parts.watch.run()
   void repeat(parts.sweep, settings.heartbeatMs)
   void repeat(async () => parts.owned.trim(), settings.heartbeatMs)
   return () => {
     controller.abort()
+    parts.announcement.stop()
     parts.watch.stop()
   }
 }
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -39,6 +39,11 @@
   relays?: boolean
 }
 
+/** How an entry reaches the platform. */
+export interface EntryRoute {
+  platform: 'relay' | 'direct'
+}
+
 /** Relays of a cluster, where it has them. */
 export interface ClusterRelays {
   platform: Relay | undefined
@@ -106,16 +111,22 @@
     }
   }
 
-  /** Starts an entry, or starts it again on its old ports. */
-  async startEntry (index: number, ports?: { api: string, session: string }): Promise<Program> {
+  /**
+   * Starts an entry, or starts it again on its old ports.
+   *
+   * @param ports - addresses of its earlier process
+   * @param via - whether it reaches the platform through the relay, if there is one
+   */
+  async startEntry (index: number, ports?: { api: string, session: string }, via: EntryRoute = { platform: 'relay' }): Promise<Program> {
     const { zones = DEFAULT_ZONES, entryArgs = [], log = 'hazellift:*' } = this.options
     const portOf = (address: string | undefined) => address?.split(':')[1] ?? '0'
     const relay = this.options.relays ? this.relays.sessions[index] ?? await startRelay() : undefined
     const advertised = relay === undefined ? [] : ['--advertise-session', relay.address]
+    const platform = via.platform === 'relay' ? this.relays.platform?.address : undefined
     const program = await this.run(`entry-${index}`, SCRIPTS.entry, [
       'entry', '--entry-id', `entry-${index}`, '--zone', zones[index % zones.length]!,
       '--api-port', portOf(ports?.api), '--session-port', portOf(ports?.session),
-      '--platform-url', `http://${this.relays.platform?.address ?? this.platform.facts['platform']}`,
+      '--platform-url', `http://${platform ?? this.platform.facts['platform']}`,
       '--cluster-token', CLUSTER_TOKEN, '--admin-token', ADMIN_TOKEN, '--log', log, ...advertised, ...entryArgs
     ])
     if (relay !== undefined) {
--- a/tests/failures/platformFailures.test.ts
+++ b/tests/failures/platformFailures.test.ts
@@ -6,6 +6,9 @@
 
 const AWAY = [{ mode: 'refuse' as const }, { mode: 'hang' as const }]
 
+/** As by default, a claim is given up long before a view of the entries is old. */
+const PATIENT = { entryArgs: ['--stale-after-ms', '6000'] }
+
 test.each(AWAY)('the table is away ($mode): new submissions are refused as not run, claimed jobs run on, and it recovers', ({ mode }) =>
   withCluster(async (cluster) => {
     const claimed = submit(cluster, { id: 'claimed', tasks: tasksOf(24, 400) })
@@ -19,7 +22,16 @@
     await cluster.setPlatform({ mode: 'ok' })
     expect(await submitUntilFinal(cluster, { id: 'new' }, [0, 1])).toMatchObject({ state: 'complete' })
     expect(startsOf(cluster, 'new')).toHaveLength(1)
-  }))
+  }, PATIENT))
+
+test.each(AWAY)('the table is away ($mode) for long: "not run" is said only of a first attempt', ({ mode }) => withCluster(async (cluster) => {
+  await cluster.setPlatform({ mode })
+  await sleep(2500)
+  expect(await submit(cluster, { id: 'perhaps-again' })).toMatchObject({ status: 503, run: 'may have run' })
+  const first = await submit(cluster, { id: 'first', firstAttempt: true })
+  expect(first).toMatchObject({ status: 503, reason: 'store_down', run: 'not run' })
+  expect(first.retryAfterMs).toBeGreaterThan(0)
+}))
 
 test.each(AWAY)('the table is away ($mode): a resubmission at the other entry finds the job in its owner\'s memory', ({ mode }) =>
   withCluster(async (cluster) => {
@@ -116,3 +128,41 @@
   cluster.entries[0]!.kill('SIGKILL')
   expect(await ask(cluster, 'large', { entry: 1 })).toMatchObject({ state: 'complete', results: first.results })
 }))
+
+test('heartbeats are held past the stale time while all entries live: a refusal still says "not run"', () => withCluster(async (cluster) => {
+  await cluster.setPlatform({ holdWrites: 1000, holdMs: 15_000 })
+  await sleep(7000)
+  expect(await submit(cluster, { id: 'held-long' })).toMatchObject({ status: 503, reason: 'store_down', run: 'not run' })
+}))
+
+const ENDS = [
+  { how: 'stops gracefully', signal: 'SIGTERM', again: false },
+  { how: 'is killed and starts again at its old address', signal: 'SIGKILL', again: true }
+] as const
+
+test.each(ENDS)('an entry $how, then the table is away: a refusal elsewhere does not say "not run" of its job', ({ signal, again }) =>
+  withCluster(async (cluster) => {
+    const job = { id: 'ran-there', tasks: tasksOf(3, 50) }
+    expect(await submit(cluster, job, { entry: 0 })).toMatchObject({ state: 'complete' })
+    const { api, session } = cluster.entries[0]!.facts as { api: string, session: string }
+    if (again) await cluster.setPlatform({ mode: 'refuse' })
+    cluster.entries[0]!.kill(signal)
+    await cluster.entries[0]!.exited
+    await sleep(again ? 0 : 1000)
+    await cluster.setPlatform({ mode: 'refuse' })
+    if (again) cluster.entries[0] = await cluster.startEntry(0, { api, session })
+    const told = await submit(cluster, job, { entry: 1 })
+    if (told.status !== 200) expect(told).toMatchObject({ run: 'may have run' })
+  }))
+
+test('an entry is cut off from the table while another one joins and runs the job: the first does not say "not run"', () =>
+  withCluster(async (cluster) => {
+    const job = { id: 'ran-at-the-new-one', tasks: tasksOf(3, 50) }
+    cluster.entries.push(await cluster.startEntry(2, undefined, { platform: 'direct' }))
+    await cluster.waitForEndpoints(3)
+    cluster.relays.platform!.sever()
+    cluster.entries.push(await cluster.startEntry(3, undefined, { platform: 'direct' }))
+    expect(await submitUntilFinal(cluster, job, [3])).toMatchObject({ state: 'complete' })
+    const told = await submit(cluster, job, { entry: 1 })
+    if (told.status !== 200) expect(told).toMatchObject({ run: 'may have run' })
+  }))
--- a/tests/support.ts
+++ b/tests/support.ts
@@ -21,6 +21,7 @@
   tasks?: object[]
   unrepeatable?: boolean
   deadlineMs?: number
+  firstAttempt?: boolean
   labels?: Record<string, string>
 }
 
