Entries hear of ends at an endpoint that other entries saw

Cause: each entry judged an endpoint by its own starts, so that a worker which fails everything cost three jobs at each entry.

Change: agents count, for each entry, how the others' starts ended, and send the counts on frames that go anyway; a failure goes out at once, at most every 20 ms. EndpointHealth folds them in by their share (first written as "failures last", which would have set aside an endpoint with 3 failures among 70). The verdict on a result stands once, in judgeResult.

A dispatch test fails with the hearing taken out.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from '@hazellift/common'
 import { REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES, TaskKeySchema } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
+import { VERDICTS, judgeResult } from '../health/judgeResult.js'
 import { TASK_STATES, isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
 import type { JobOrder } from '../queue/fairQueue.js'
@@ -52,11 +53,6 @@
 const ASSUMED_RUN_MS = 100
 /** Failures after which the attempt is known to be over: the endpoint answered. After others it may still run. */
 const ANSWERED_REASONS: ReadonlySet<string> = new Set([REASONS.endpointError, REASONS.badAnswer])
-/** Reasons by which an agent turned a start away that say nothing about its endpoint. */
-const NEUTRAL_REASONS: ReadonlySet<string> = new Set([
-  REASONS.noSlot, REASONS.staleStart, REASONS.endpointGone, REASONS.lostStart, REASONS.revoked, REASONS.takenOver,
-  REASONS.stopCut
-])
 
 /**
  * Queues of one entry and the starts it has in flight.
@@ -179,6 +175,7 @@
     agent.free = frame.free
     if (frame.endpoint !== undefined) this.setEndpoint(agent, frame.endpoint)
     if (frame.leaving) this.setLeaving(agent)
+    if (frame.endsElsewhere !== undefined) this.services.find(agent.service)?.health.heard(agent.agentId, frame.endsElsewhere)
     for (const result of frame.results) this.onResult(agent, result)
     if (frame.resume !== undefined) this.onResume(agent, frame.resume.held)
     for (const { workspace, submission, running } of frame.collected) {
@@ -278,9 +275,11 @@
   private judgeEndpoint (agent: AgentHandle, result: TaskResult): void {
     const health = this.services.find(agent.service)?.health
     if (health === undefined) return
-    if (result.outcome === TASK_OUTCOMES.done) return health.succeeded(agent.agentId, result.runMs)
-    if (NEUTRAL_REASONS.has(result.reason)) return health.unsent(agent.agentId)
-    health.failed(agent.agentId)
+    switch (judgeResult(result)) {
+      case VERDICTS.succeeded: return health.succeeded(agent.agentId, result.runMs)
+      case VERDICTS.failed: return health.failed(agent.agentId)
+      case VERDICTS.none: return health.unsent(agent.agentId)
+    }
   }
 
   private onDone (job: Job, index: number, body: string): void {
--- a/packages/coordination/src/health/endpointHealth.test.ts
+++ b/packages/coordination/src/health/endpointHealth.test.ts
@@ -34,6 +34,27 @@
     expect(found).toEqual(aside)
   })
 
+  test.each([
+    { name: 'failures alone', heard: { done: 0, failed: 3, runMs: 0 }, aside: true },
+    { name: 'two failures', heard: { done: 0, failed: 2, runMs: 0 }, aside: false },
+    { name: 'some failures among many that were done', heard: { done: 20, failed: 3, runMs: 2000 }, aside: false },
+    { name: 'mostly failures', heard: { done: 1, failed: 5, runMs: 100 }, aside: true },
+    { name: 'none but those that were done', heard: { done: 20, failed: 0, runMs: 2000 }, aside: false }
+  ])('an endpoint of which other entries tell $name is set aside: $aside', ({ heard, aside }) => {
+    const { health } = setUp(4)
+    health.heard('e0', heard)
+    expect(health.stateOf('e0') === HEALTH_STATES.setAside).toBe(aside)
+  })
+
+  test('an endpoint that other entries find slow counts as slow', () => {
+    const { health } = setUp(2)
+    for (let n = 0; n < 40; n++) {
+      health.succeeded('e1', 100)
+      health.heard('e0', { done: 2, failed: 0, runMs: 1000 })
+    }
+    expect(health.slownessOf('e0')).toBeGreaterThan(health.slownessOf('e1') * 2)
+  })
+
   test('tries one set aside again after its time, one start at a time', () => {
     const { clock, health } = setUp(4)
     fail(health, 'e0', 5)
--- a/packages/coordination/src/health/endpointHealth.ts
+++ b/packages/coordination/src/health/endpointHealth.ts
@@ -10,6 +10,14 @@
   backoff: (times: number) => number
 }
 
+/** How some starts at one endpoint ended. */
+export interface Ends {
+  done: number
+  failed: number
+  /** Run time of those done, all together, in ms. */
+  runMs: number
+}
+
 interface EndpointRecord {
   /** Moving share of failed starts. */
   failureShare: number
@@ -30,6 +38,10 @@
 /** How many times the failures of its peers an endpoint must show, so that a bad job does not condemn any. */
 const PEER_FACTOR = 2
 
+/** A moving average after `count` samples of the same value. */
+const blend = (average: number, value: number, weight: number, count: number): number =>
+  value + (average - value) * (1 - weight) ** count
+
 const newRecord = (): EndpointRecord => ({
   failureShare: 0,
   samples: 0,
@@ -100,28 +112,36 @@
 
   /** A task was answered. */
   succeeded (id: string, runMs: number): void {
-    this.meanRunMs = this.meanRunMs === 0 ? runMs : this.meanRunMs + SLOWNESS_WEIGHT * (runMs - this.meanRunMs)
-    const record = this.records.get(id)
-    if (record === undefined) return
-    const ratio = this.meanRunMs === 0 ? 1 : runMs / this.meanRunMs
-    record.slowness += SLOWNESS_WEIGHT * (ratio - record.slowness)
-    this.count(record, 0)
-    if (record.state === HEALTH_STATES.probing) this.restore(record)
+    this.heard(id, { done: 1, failed: 0, runMs })
   }
 
   /** An attempt failed, or could not begin, at this endpoint. */
   failed (id: string): void {
+    this.heard(id, { done: 0, failed: 1, runMs: 0 })
+  }
+
+  /** Starts ended at this endpoint, in whatever order. */
+  heard (id: string, { done, failed, runMs }: Ends): void {
     const record = this.records.get(id)
+    if (done > 0) this.observeSpeed(record, done, runMs / done)
     if (record === undefined) return
-    this.count(record, 1)
+    const count = done + failed
+    record.samples += count
+    record.failureShare = blend(record.failureShare, failed / count, FAILURE_WEIGHT, count)
+    if (failed === 0) return this.onSound(record)
     const isSuspect = record.state === HEALTH_STATES.probing || this.isFarWorse(record)
     if (isSuspect && record.state !== HEALTH_STATES.setAside && this.mayAside(record)) this.setAside(record)
-    else if (record.state === HEALTH_STATES.probing) this.restore(record)
+    else this.onSound(record)
+  }
+
+  private onSound (record: EndpointRecord): void {
+    if (record.state === HEALTH_STATES.probing) this.restore(record)
   }
 
-  private count (record: EndpointRecord, failure: 0 | 1): void {
-    record.samples++
-    record.failureShare += FAILURE_WEIGHT * (failure - record.failureShare)
+  private observeSpeed (record: EndpointRecord | undefined, count: number, runMs: number): void {
+    this.meanRunMs = this.meanRunMs === 0 ? runMs : blend(this.meanRunMs, runMs, SLOWNESS_WEIGHT, count)
+    const ratio = this.meanRunMs === 0 ? 1 : runMs / this.meanRunMs
+    if (record !== undefined) record.slowness = blend(record.slowness, ratio, SLOWNESS_WEIGHT, count)
   }
 
   private isFarWorse (record: EndpointRecord): boolean {
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -2,7 +2,9 @@
 import type { Clock } from '@hazellift/common'
 import { CollectedSchema, EndpointStateSchema, REASONS, ResumeSchema, TASK_OUTCOMES, TaskResultSchema } from '@hazellift/protocol'
 import type { AgentFrame, Collect, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
+import { VERDICTS, judgeResult } from '../health/judgeResult.js'
 import { SlotGranter } from '../slots/slotGranter.js'
+import { EndsTally } from './endsElsewhere.js'
 import { Mailboxes } from './mailboxes.js'
 import { TaskLedger } from './taskLedger.js'
 import type { TaskEntry } from './taskLedger.js'
@@ -38,6 +40,7 @@
 
 interface HostSession {
   add: AddToFrame
+  elsewhere: EndsTally
   /** The entry knows that this agent is leaving, so no start follows. */
   sawLeaving: boolean
 }
@@ -52,6 +55,9 @@
 const isRetryOf = (known: TaskEntry, { attempt }: TaskKey): boolean =>
   attempt > known.key.attempt && known.result?.outcome === TASK_OUTCOMES.failed
 
+/** Least time between frames that only tell of a failure. */
+const FAILURE_PACE_MS = 20
+
 const NO_ENDPOINT = create(EndpointStateSchema)
 
 /**
@@ -67,6 +73,7 @@
   private endpoint = NO_ENDPOINT
   private running = 0
   private leaving = false
+  private failureToldAt = -Infinity
 
   constructor (private readonly options: TaskHostOptions) {
     const { clock, memoryMs, standingCredits } = options
@@ -95,7 +102,7 @@
    * same incarnation has been closed: nothing it may still carry is accepted.
    */
   openSession (incarnation: string, add: AddToFrame): void {
-    this.sessions.set(incarnation, { add, sawLeaving: false })
+    this.sessions.set(incarnation, { add, elsewhere: new EndsTally(), sawLeaving: false })
     this.granter.addEntry(incarnation)
     const unacked = this.mailboxes.unackedOf(incarnation)
     const started = this.ledger.heldFor(incarnation)
@@ -183,6 +190,8 @@
   stamp (incarnation: string, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
     frame.free = this.granter.freeFor(incarnation)
+    const ends = this.sessions.get(incarnation)?.elsewhere.take()
+    if (ends !== undefined) frame.endsElsewhere = ends
   }
 
   private onStart (incarnation: string, start: Start): void {
@@ -260,6 +269,7 @@
     // A start that did not happen must not stand in the way of one that the entry may send again.
     if (end.outcome === TASK_OUTCOMES.notStarted) this.ledger.remove(entry.key)
     else this.ledger.finish(entry, result)
+    this.tellOthers(entry.recipient, result)
     this.deliver(entry.recipient, result)
     this.runWaiting()
     this.grant((incarnation) => incarnation === entry.recipient, entry.recipient)
@@ -298,6 +308,18 @@
     }
   }
 
+  /** Counts an end for the entries that it does not go to; a failure is told at once, but not too often. */
+  private tellOthers (recipient: string, result: TaskResult): void {
+    const { clock } = this.options
+    const isUrgent = judgeResult(result) === VERDICTS.failed && clock.now() - this.failureToldAt >= FAILURE_PACE_MS
+    if (isUrgent) this.failureToldAt = clock.now()
+    for (const [incarnation, { add, elsewhere }] of this.sessions) {
+      if (incarnation === recipient) continue
+      elsewhere.count(result)
+      if (isUrgent) add(() => {})
+    }
+  }
+
   private deliver (incarnation: string, result: TaskResult): void {
     this.mailboxes.put(incarnation, result)
     this.addResult(incarnation, result)
--- a/packages/coordination/tests/dispatch.test.ts
+++ b/packages/coordination/tests/dispatch.test.ts
@@ -15,6 +15,25 @@
 
 const newJob = (id: string, tasks: number): Job => createJob({ ...JOB_BASE, id, payloads: Array<string>(tasks).fill('p'), retries: 1 })
 
+test('an endpoint that fails at one entry is set aside at the others, which have sent nothing there', async () => {
+  const network = new FakeNetwork(2, 3)
+  const [first, second] = network.entries
+  const [bad] = network.agents
+  network.settle()
+  for (let n = 0; bad!.running.length + network.starts.length < 40 && first!.failed.length < 3; n++) {
+    first!.dispatcher.add(newJob(`j${n}`, 1))
+    network.settle()
+    for (const agent of network.agents) {
+      const end = agent === bad ? { outcome: TASK_OUTCOMES.failed, reason: 'endpoint_error' as const, body: '' } : DONE
+      for (const task of agent.running.splice(0)) task.end(end)
+    }
+    await flush()
+    network.clock.advance(50)
+    network.settle()
+  }
+  expect(second!.dispatcher.service('service')!.health.stateOf(bad!.id)).toBe('set_aside')
+})
+
 describe('a lost session', () => {
   test.each([
     { name: 'within the window: what the agent does not hold is sent elsewhere', silentMs: RESUME_WINDOW_MS - 500, failed: 0 },
--- a/packages/entry/src/operations/countMessages.ts
+++ b/packages/entry/src/operations/countMessages.ts
@@ -12,6 +12,8 @@
   return: 'return',
   revoke: 'revoke',
   collect: 'collect',
+  /** A frame of its own that only tells of a failure of another entry's start. */
+  failure: 'failure',
   keepAlive: 'keep_alive'
 } as const
 type MessageKind = typeof MESSAGE_KINDS[keyof typeof MESSAGE_KINDS]
@@ -20,6 +22,11 @@
   if (number > 0) messages.inc({ kind }, number)
 }
 
+const kindOfBareFrame = ({ credits, endsElsewhere }: AgentFrame): MessageKind => {
+  if (credits > 0) return MESSAGE_KINDS.grant
+  return endsElsewhere !== undefined && endsElsewhere.failed > 0 ? MESSAGE_KINDS.failure : MESSAGE_KINDS.keepAlive
+}
+
 /** Counts what an agent sent. Credits that come with a result cost no message. */
 export const countAgentFrame = (metrics: EntryMetrics, frame: AgentFrame): void => {
   metrics.frames.inc({ direction: 'in' })
@@ -27,7 +34,7 @@
   count(metrics, MESSAGE_KINDS.collect, frame.collected.length)
   const hasOther = frame.results.length + frame.collected.length > 0 || frame.hello !== undefined || frame.resume !== undefined
   if (hasOther) return
-  count(metrics, frame.credits > 0 ? MESSAGE_KINDS.grant : MESSAGE_KINDS.keepAlive, 1)
+  count(metrics, kindOfBareFrame(frame), 1)
 }
 
 /** Counts what this entry sends. Demand that travels with a start costs no message. */
