A workspace set against the others, measured; peers' answers and ends of tasks in files of their own

Cause: that a workspace which floods, whose policy throws or is at the limit of cost, whose jobs can never run or whose tasks fail leaves the others alone was claimed, not measured; and nothing tested that an agent ends only when its entries know that it leaves.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,19 +1,19 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock, Random } from '@hazellift/common'
-import { REASONS, RevokeSchema, StartSchema, TASK_OUTCOMES, TaskKeySchema } from '@hazellift/protocol'
+import { REASONS, RevokeSchema, StartSchema, TaskKeySchema } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
-import { VERDICTS, judgeResult } from '../health/judgeResult.js'
 import { TASK_STATES, isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
 import type { JobOrder } from '../queue/fairQueue.js'
 import { submissionKey, taskKey } from '../tasks/keys.js'
 import { createAgentHandle } from './agentHandle.js'
-import type { AgentHandle, AgentLink, SentTask } from './agentHandle.js'
+import type { AgentHandle, AgentLink } from './agentHandle.js'
 import { refreshDemand, returnExcess, spreadDemand } from './demand.js'
 import { InFlight } from './inFlight.js'
 import type { PickRule } from './pickRules.js'
 import { ServiceRegistry } from './serviceRegistry.js'
 import { ServiceState } from './serviceState.js'
+import { TaskEnds } from './taskEnds.js'
 import { Takeovers } from './takeovers.js'
 
 /** What the dispatcher tells the owner of the jobs. */
@@ -51,9 +51,6 @@
 }
 
 const ASSUMED_RUN_MS = 100
-/** Failures after which the attempt is known to be over: the endpoint answered. After others it may still run. */
-const ANSWERED_REASONS: ReadonlySet<string> = new Set([REASONS.endpointError, REASONS.badAnswer])
-
 /**
  * Queues of one entry and the starts it has in flight.
  *
@@ -66,6 +63,7 @@
   private readonly jobs = new Map<string, Job>()
   private readonly inFlight = new InFlight()
   private readonly takeovers: Takeovers
+  private readonly ends: TaskEnds
 
   constructor (private readonly options: DispatcherOptions) {
     const { order, weightOf, maxRunningOf, clock, setAsideShare, setAsideBackoff, collectTimeoutMs, events } = options
@@ -73,6 +71,14 @@
     this.services = new ServiceRegistry(() => new ServiceState(
       { order, weightOf, mayRun },
       { now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff }))
+    this.ends = new TaskEnds({
+      clock,
+      events,
+      services: this.services,
+      inFlight: this.inFlight,
+      jobs: this.jobs,
+      onQueued: (service) => this.schedulePump(service)
+    })
     this.takeovers = new Takeovers({
       clock,
       inFlight: this.inFlight,
@@ -176,7 +182,7 @@
     if (frame.endpoint !== undefined) this.setEndpoint(agent, frame.endpoint)
     if (frame.leaving) this.setLeaving(agent)
     if (frame.endsElsewhere !== undefined) this.services.find(agent.service)?.health.heard(agent.agentId, frame.endsElsewhere)
-    for (const result of frame.results) this.onResult(agent, result)
+    for (const result of frame.results) this.ends.onResult(agent, result)
     if (frame.resume !== undefined) this.onResume(agent, frame.resume.held)
     for (const { workspace, submission, running } of frame.collected) {
       this.takeovers.onCollected(agent, this.jobs.get(submissionKey(workspace, submission)), running)
@@ -246,81 +252,6 @@
     this.options.events.started(job, now - task.queuedAt)
   }
 
-  private onResult (agent: AgentHandle, result: TaskResult): void {
-    agent.link?.acknowledge(result.seq)
-    const key = result.key!
-    const sent = this.inFlight.remove(agent, taskKey(key))
-    if (sent !== undefined) this.settleCharge(sent, result)
-    // Also where the job is over: a job's first failure must not hide the others of its endpoint.
-    this.judgeEndpoint(agent, result)
-    const job = this.jobs.get(submissionKey(key.workspace, key.submission))
-    const task = job?.tasks[key.task]
-    const isAwaited = task !== undefined && (sent !== undefined || task.state === TASK_STATES.unknown)
-    if (job === undefined || task === undefined || !isAwaited) return this.options.events.wasted(result.reason as Reason || REASONS.duplicateStart)
-    this.settleTask(agent, job, key.task, result)
-  }
-
-  private settleCharge ({ job, estimateMs }: SentTask, result: TaskResult): void {
-    this.services.find(job.service)?.queue.charge(job.workspace, result.runMs - estimateMs)
-  }
-
-  private settleTask (agent: AgentHandle, job: Job, index: number, result: TaskResult): void {
-    this.options.events.ended(job, result)
-    if (result.reason === REASONS.takenOver) return this.options.events.takenOver(job)
-    if (result.outcome === TASK_OUTCOMES.done) return this.onDone(job, index, result.body)
-    if (result.outcome === TASK_OUTCOMES.notStarted) return this.onNotStarted(job, index, result.reason as Reason)
-    this.onFailed(job, index, result)
-  }
-
-  private judgeEndpoint (agent: AgentHandle, result: TaskResult): void {
-    const health = this.services.find(agent.service)?.health
-    if (health === undefined) return
-    switch (judgeResult(result)) {
-      case VERDICTS.succeeded: return health.succeeded(agent.agentId, result.runMs)
-      case VERDICTS.failed: return health.failed(agent.agentId)
-      case VERDICTS.none: return health.unsent(agent.agentId)
-    }
-  }
-
-  private onDone (job: Job, index: number, body: string): void {
-    const task = job.tasks[index]!
-    task.state = TASK_STATES.done
-    task.result = body
-    job.hasRun = true
-    job.doneCount++
-    if (job.doneCount < job.tasks.length) return
-    this.jobs.delete(job.key)
-    this.options.events.complete(job)
-  }
-
-  /** The start is proved void, so the task may be sent elsewhere. */
-  private onNotStarted (job: Job, index: number, reason: Reason): void {
-    this.options.events.wasted(reason)
-    if (job.collecting !== undefined) return this.options.events.failed(job, REASONS.ownerLost, 'a task never started')
-    job.mayHaveRun--
-    this.requeue(job, index)
-  }
-
-  private onFailed (job: Job, index: number, result: TaskResult): void {
-    const task = job.tasks[index]!
-    job.hasRun = true
-    task.failures++
-    const isOver = ANSWERED_REASONS.has(result.reason)
-    const mayRetry = isOver && !job.unrepeatable && job.collecting === undefined && task.failures <= job.retries
-    if (mayRetry) return this.requeue(job, index)
-    const detail = result.body === '' ? '' : `: ${result.body}`
-    this.options.events.failed(job, REASONS.taskFailed, `task ${index}: ${result.reason}${detail}`)
-  }
-
-  private requeue (job: Job, index: number): void {
-    const task = job.tasks[index]!
-    task.state = TASK_STATES.queued
-    task.queuedAt = this.options.clock.now()
-    const service = this.services.of(job.service)
-    service.queue.putBack(job, index)
-    this.schedulePump(service)
-  }
-
   /**
    * A session resumed. A start that the agent does not hold was never accepted,
    * provided the agent cannot have forgotten it: its memory is far longer than
@@ -334,7 +265,7 @@
     const mayRequeue = agent.stampMs - agent.stampAtLossMs <= this.options.resumeWindowMs
     for (const [key, { job, task }] of missing) {
       this.inFlight.remove(agent, key)
-      if (mayRequeue) this.onNotStarted(job, task, REASONS.lostStart)
+      if (mayRequeue) this.ends.onNotStarted(job, task, REASONS.lostStart)
       else this.failLost(job, agent)
     }
     this.revokeUnknown(agent, held)
--- a/packages/coordination/src/jobs/jobService.ts
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@hazellift/common'
-import { PEER_ANSWERS, REASONS, RUN_STATES } from '@hazellift/protocol'
-import type { JobSpec, PeerAnswer } from '@hazellift/protocol'
+import { REASONS, RUN_STATES } from '@hazellift/protocol'
+import type { JobSpec } from '@hazellift/protocol'
 import type { Claim } from '../claims/claimRows.js'
 import type { ClaimStore } from '../claims/claimStore.js'
 import type { WorkspaceConfig } from '../config/configWatch.js'
@@ -12,8 +12,9 @@
 import { JobStarter, STORE_RETRY_MS } from './jobStarter.js'
 import type { AdmittedJob, BeginOutcome } from './jobStarter.js'
 import { OutageLookup } from './outageLookup.js'
-import type { JobNews, OwnedJobs } from './ownedJobs.js'
-import type { PeerCalls, PeerQuery } from './peerCalls.js'
+import type { OwnedJobs } from './ownedJobs.js'
+import { PeerAnswers } from './peerAnswers.js'
+import type { PeerCalls } from './peerCalls.js'
 import { refuse, refuseConflict } from './replies.js'
 import type { JobReply, Refusal } from './replies.js'
 
@@ -40,17 +41,7 @@
   mayClaim: () => boolean
 }
 
-/** A peer's question answered from memory. */
-export interface LocalFinding {
-  kind: PeerAnswer
-  answer?: Extract<JobNews, { type: 'answer' }>['answer']
-  bodyHash: Uint8Array
-  incarnation: string
-  memoryWhole: boolean
-}
-
 const UNSAVED_RETRY_MS = 1000
-const NO_HASH = new Uint8Array()
 /** Part of the stale time up to which a read counts as fresh; entries announce themselves for all of it. */
 const FRESH_SHARE = 0.75
 
@@ -61,6 +52,8 @@
  * Submissions, questions and cancellations of jobs, wherever their owner is.
  */
 export class JobService {
+  /** What this entry tells others of its jobs. */
+  readonly peerAnswers: PeerAnswers
   private readonly attachment: Attachment
   private readonly outage: OutageLookup
   /** Submissions whose claim is being written here. */
@@ -71,6 +64,12 @@
   constructor (private readonly options: JobServiceOptions) {
     this.attachment = new Attachment({ ...options, ownAnswer: (claim) => this.ownAnswer(claim) })
     this.starter = new JobStarter(options)
+    this.peerAnswers = new PeerAnswers({
+      owned: options.owned,
+      incarnation: options.incarnation,
+      afterClaiming: async (key) => this.claiming.get(key),
+      isReleased: (nonce) => this.starter.isReleased(nonce)
+    })
     this.outage = new OutageLookup({
       ...options,
       memoryMs: options.answerWindowMs,
@@ -140,33 +139,6 @@
     return this.attach(claim.value, undefined, until)
   }
 
-  /** Answers a peer from memory alone. */
-  async answerPeer (query: PeerQuery): Promise<LocalFinding> {
-    const key = submissionKey(query.workspace, query.submission)
-    await this.claiming.get(key)
-    const { owned, incarnation } = this.options
-    const memory = { incarnation, memoryWhole: owned.isMemoryWhole }
-    const claim = owned.claimOf(key)
-    if (claim !== undefined && (query.nonce === '' || query.nonce === claim.record.nonce)) {
-      const news = await owned.wait(key, query.waitMs)
-      const { bodyHash } = claim.record
-      if (news.type === 'answer') return { kind: PEER_ANSWERS.final, answer: news.answer, bodyHash, ...memory }
-      return { kind: PEER_ANSWERS.pending, bodyHash, ...memory }
-    }
-    const remembered = owned.answerOf(key)
-    if (remembered !== undefined) return { kind: PEER_ANSWERS.final, ...remembered, ...memory }
-    const kind = this.starter.isReleased(query.nonce) ? PEER_ANSWERS.released : PEER_ANSWERS.unknown
-    return { kind, bodyHash: NO_HASH, ...memory }
-  }
-
-  /** Cancels for a peer. */
-  async cancelForPeer (query: PeerQuery): Promise<LocalFinding> {
-    const key = submissionKey(query.workspace, query.submission)
-    await this.claiming.get(key)
-    this.options.owned.failByKey(key, REASONS.cancelled, 'cancelled')
-    return this.answerPeer(query)
-  }
-
   private admit (config: WorkspaceConfig, spec: JobSpec, deadlineMs: number): ReturnType<Admission['check']> {
     if (this.stopping) return refuse(REASONS.stopping, 'this entry is stopping', RUN_STATES.notRun, STORE_RETRY_MS)
     if (!this.options.mayClaim()) return refuse(REASONS.notReady, 'this entry is not known to the others yet', RUN_STATES.notRun, STORE_RETRY_MS)
--- /dev/null
+++ b/packages/coordination/src/jobs/peerAnswers.ts
@@ -0,0 +1,64 @@
+import { PEER_ANSWERS, REASONS } from '@hazellift/protocol'
+import type { JobAnswer, PeerAnswer } from '@hazellift/protocol'
+import { submissionKey } from '../tasks/keys.js'
+import type { OwnedJobs } from './ownedJobs.js'
+import type { PeerQuery } from './peerCalls.js'
+
+/** A peer's question answered from memory. */
+export interface LocalFinding {
+  kind: PeerAnswer
+  answer?: JobAnswer
+  bodyHash: Uint8Array
+  /** The process that answers. */
+  incarnation: string
+  /** False if answers younger than the window were dropped, so that "unknown" proves nothing. */
+  memoryWhole: boolean
+}
+
+/** What answers need. */
+export interface PeerAnswersOptions {
+  owned: OwnedJobs
+  incarnation: string
+  /** Resolves once no claim of the submission is being written here. */
+  afterClaiming: (key: string) => Promise<unknown>
+  /** True if this entry gave the claim up before anything was started. */
+  isReleased: (nonce: string) => boolean
+}
+
+const NO_HASH = new Uint8Array()
+
+/** What this entry tells other entries of the jobs in its memory. */
+export class PeerAnswers {
+  constructor (private readonly options: PeerAnswersOptions) {}
+
+  /** Waits for a job that this entry owns. */
+  async await (query: PeerQuery): Promise<LocalFinding> {
+    const { owned, incarnation, afterClaiming } = this.options
+    const key = submissionKey(query.workspace, query.submission)
+    await afterClaiming(key)
+    const facts = await this.find(key, query)
+    return { ...facts, incarnation, memoryWhole: owned.isMemoryWhole }
+  }
+
+  /** Cancels a job that this entry owns. */
+  async cancel (query: PeerQuery): Promise<LocalFinding> {
+    const key = submissionKey(query.workspace, query.submission)
+    await this.options.afterClaiming(key)
+    this.options.owned.failByKey(key, REASONS.cancelled, 'cancelled')
+    return this.await(query)
+  }
+
+  private async find (key: string, { nonce, waitMs }: PeerQuery): Promise<Pick<LocalFinding, 'kind' | 'answer' | 'bodyHash'>> {
+    const { owned, isReleased } = this.options
+    const claim = owned.claimOf(key)
+    if (claim !== undefined && (nonce === '' || nonce === claim.record.nonce)) {
+      const news = await owned.wait(key, waitMs)
+      const { bodyHash } = claim.record
+      if (news.type === 'answer') return { kind: PEER_ANSWERS.final, answer: news.answer, bodyHash }
+      return { kind: PEER_ANSWERS.pending, bodyHash }
+    }
+    const remembered = owned.answerOf(key)
+    if (remembered !== undefined) return { kind: PEER_ANSWERS.final, answer: remembered.answer, bodyHash: remembered.bodyHash }
+    return { kind: isReleased(nonce) ? PEER_ANSWERS.released : PEER_ANSWERS.unknown, bodyHash: NO_HASH }
+  }
+}
--- a/packages/coordination/tests/dispatch.test.ts
+++ b/packages/coordination/tests/dispatch.test.ts
@@ -34,6 +34,26 @@
   expect(second!.dispatcher.service('service')!.health.stateOf(bad!.id)).toBe('set_aside')
 })
 
+test('an agent has left only when every entry knows; a start under way meanwhile goes back to its entry', async () => {
+  const network = new FakeNetwork(2, 1)
+  const [first, second] = network.entries
+  const [agent] = network.agents
+  network.settle()
+  second!.dispatcher.add(newJob('under-way', 1))
+  network.runDeferred()
+  agent!.host.leave()
+  const heard = network.session(first!, agent!)!
+  while (heard.toEntry.length > 0) heard.deliverToEntry()
+  while (heard.toAgent.length > 0) heard.deliverToAgent()
+  expect(agent!.host.isLeft).toBe(false)
+  network.settle()
+  await flush()
+  expect(agent!.host.isLeft).toBe(true)
+  expect(network.starts).toEqual([])
+  expect(second!.failed).toEqual([])
+  expect(second!.dispatcher.queuedTotal).toBe(1)
+})
+
 describe('a lost session', () => {
   test.each([
     { name: 'within the window: what the agent does not hold is sent elsewhere', silentMs: RESUME_WINDOW_MS - 500, failed: 0 },
--- a/packages/entry/src/peers/createPeerService.ts
+++ b/packages/entry/src/peers/createPeerService.ts
@@ -16,8 +16,8 @@
 export const createPeerService = (
   jobs: JobService, directory: EntryDirectory, watch: ConfigWatch, view: ClusterView
 ): ServiceImpl<typeof PeerService> => ({
-  await: (query) => jobs.answerPeer(query),
-  cancel: (query) => jobs.cancelForPeer({ ...query, waitMs: CANCEL_WAIT_MS }),
+  await: (query) => jobs.peerAnswers.await(query),
+  cancel: (query) => jobs.peerAnswers.cancel({ ...query, waitMs: CANCEL_WAIT_MS }),
   introduce: ({ entry }) => {
     if (entry !== undefined) directory.introduce(entry)
     return { incarnation: directory.ownRecord().incarnation }
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -64,6 +64,7 @@
 const CLUSTER_TOKEN = 'cluster-token-for-trials'
 const READY_TIMEOUT_MS = 30_000
 const POLL_MS = 50
+const CONFIG_WAIT_MS = 10_000
 const DEFAULT_ZONES = ['zone-a', 'zone-b', 'zone-c']
 
 const require = createRequire(import.meta.url)
@@ -234,10 +235,18 @@
       { name: 'caller', role: 'caller', token: callerToken(name) },
       { name: 'operator', role: 'operator', token: operatorToken(name) }
     ]
-    const res = await this.api(0, ADMIN_TOKEN).send({
-      method: 'PUT', path: `/v1/workspaces/${name}?waitMs=10000`, body: JSON.stringify({ tokens, ...body })
-    })
-    if (!res.ok) throw new Error(`cannot put workspace ${name}: ${JSON.stringify(res.err, (_, value) => typeof value === 'bigint' ? String(value) : value)}`)
+    await this.put(ADMIN_TOKEN, `/v1/workspaces/${name}`, { tokens, ...body })
+  }
+
+  /** Gives a workspace a policy. */
+  async putPolicy (workspace: string, policy: Record<string, string>): Promise<void> {
+    await this.put(operatorToken(workspace), `/v1/workspaces/${workspace}/policy`, policy)
+  }
+
+  /** Changes the configuration; resolves once the change is in force at every entry. */
+  private async put (token: string, path: string, body: object): Promise<void> {
+    const res = await this.api(0, token).send({ method: 'PUT', path: `${path}?waitMs=${CONFIG_WAIT_MS}`, body: JSON.stringify(body) })
+    if (!res.ok) throw new Error(`cannot put ${path}: ${JSON.stringify(res.err, (_, value) => typeof value === 'bigint' ? String(value) : value)}`)
   }
 
   private async startWorker (index: number): Promise<Worker> {
--- a/packages/standins/src/measure/createLoad.ts
+++ b/packages/standins/src/measure/createLoad.ts
@@ -1,5 +1,6 @@
 import { seededRandom } from '@hazellift/common'
 import type { Random } from '@hazellift/common'
+import { drawNeighbour } from './neighbours.js'
 import type { LoadJob, LoadOptions } from './types.js'
 
 const SHORTEST_MS = 50
@@ -98,6 +99,6 @@
 export const createLoad = (options: LoadOptions): LoadJob[] => {
   const perMs = options.share * options.slots / meanWork(options.seed, options.maxTasks)
   const random = seededRandom(options.seed)
-  const jobs = [...drawJobs(options, random, perMs), ...drawBursts(options, random)]
+  const jobs = [...drawJobs(options, random, perMs), ...drawBursts(options, random), ...drawNeighbour(options)]
   return jobs.sort((a, b) => a.atMs - b.atMs)
 }
--- a/packages/standins/src/measure/main.ts
+++ b/packages/standins/src/measure/main.ts
@@ -1,6 +1,8 @@
 #!/usr/bin/env node
 import { writeFileSync } from 'node:fs'
 import { Command, InvalidArgumentError, Option } from 'commander'
+import { NEIGHBOURS } from './neighbours.js'
+import type { Neighbour } from './neighbours.js'
 import { printReports } from './report.js'
 import { runTrial } from './runTrial.js'
 import { TRIAL_FAULTS } from './types.js'
@@ -18,6 +20,7 @@
   workspaces: number
   burst: number
   maxTasks: number
+  neighbour: Neighbour
   fault: TrialFault
   entryArgs: string
   agentArgs: string
@@ -46,6 +49,7 @@
   .option('--workspaces <n>', 'workspaces that share the load', number, 4)
   .option('--burst <jobs>', 'jobs of 100 tasks that one more workspace sends together, every 3 s', number, 0)
   .option('--max-tasks <n>', 'largest job', number, 300)
+  .addOption(new Option('--neighbour <name>', 'what one more workspace does to the others').choices(Object.values(NEIGHBOURS)).default(NEIGHBOURS.none))
   .addOption(new Option('--fault <name>', 'caused a third into the load').choices(Object.values(TRIAL_FAULTS)).default(TRIAL_FAULTS.none))
   .option('--entry-args <flags>', 'further flags of entries', '')
   .option('--agent-args <flags>', 'further flags of agents', '')
--- a/packages/standins/src/measure/report.ts
+++ b/packages/standins/src/measure/report.ts
@@ -1,12 +1,15 @@
 import Table from 'cli-table3'
 import { build } from 'hdr-histogram-js'
 import { centralQueueMs } from './centralQueue.js'
+import { NEIGHBOUR } from './neighbours.js'
 import { byLabel, growth, total } from './scrape.js'
 import type { Scrape } from './scrape.js'
 import type { JobOutcome, Quantiles, TrialReport } from './types.js'
 
 /** Ratios are kept with three digits after the point. */
 const RATIO_SCALE = 1000
+/** Workspaces that a trial sets against the others. */
+const APART: ReadonlySet<string> = new Set(['bursty', NEIGHBOUR])
 const KEEP_ALIVE = 'keep_alive'
 
 /** What is counted before and after a load. */
@@ -48,7 +51,7 @@
 const responseReport = (outcomes: JobOutcome[], slots: number) => {
   const queue = centralQueueMs(outcomes.map(({ job }) => job), slots)
   const complete = outcomes.filter(({ outcome }) => outcome === 'complete')
-  const quiet = complete.filter(({ job }) => job.workspace !== 'bursty')
+  const quiet = complete.filter(({ job }) => !APART.has(job.workspace))
   return {
     overIdeal: quantilesOf(complete.map(({ job, responseMs }) => responseMs / Math.max(...job.taskMs))),
     overQueue: quantilesOf(complete.map(({ job, responseMs }) => responseMs / queue.get(job.id)!)),
--- a/packages/standins/src/measure/runTrial.ts
+++ b/packages/standins/src/measure/runTrial.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici'
 import { Cluster } from '../cluster/cluster.js'
 import { createLoad } from './createLoad.js'
+import { NEIGHBOUR, NEIGHBOURS, putNeighbourPolicy } from './neighbours.js'
 import { createReport } from './report.js'
 import type { Counts } from './report.js'
 import { scrape } from './scrape.js'
@@ -63,7 +64,7 @@
   log: '',
   entryArgs: ['--dispatch-rule', options.rule, ...options.entryArgs],
   agentArgs: [...(options.rule === 'credits' ? [] : BASELINE_AGENT_ARGS), ...options.agentArgs],
-  workspaces: [...Array.from({ length: options.workspaces }, (_, n) => ({ name: `workspace-${n}` })), { name: 'bursty' }]
+  workspaces: [...Array.from({ length: options.workspaces }, (_, n) => ({ name: `workspace-${n}` })), { name: 'bursty' }, { name: NEIGHBOUR }]
 })
 
 /**
@@ -77,8 +78,9 @@
   const cluster = await clusterOf(options)
   try {
     const load = createLoad({ ...options, slots })
-    const warmUp = createLoad({ ...options, ...WARM_UP, slots, burst: 0 }).map((job) => ({ ...job, id: `warm-up-${job.id}` }))
+    const warmUp = createLoad({ ...options, ...WARM_UP, slots, burst: 0, neighbour: NEIGHBOURS.none }).map((job) => ({ ...job, id: `warm-up-${job.id}` }))
     await sendLoad(warmUp, (entry) => cluster.apiUrl(entry))
+    await putNeighbourPolicy(cluster, options.neighbour)
     const before = await countAll(cluster)
     const startedAt = performance.now()
     const [outcomes] = await Promise.all([
--- a/packages/standins/src/measure/sendLoad.ts
+++ b/packages/standins/src/measure/sendLoad.ts
@@ -21,10 +21,10 @@
 /** Sends one job and waits for its answer. */
 const sendJob = async (url: string, job: LoadJob, dispatcher: Agent): Promise<JobOutcome> => {
   const tasks = job.taskMs.map((ms, index) => ({
-    payload: JSON.stringify({ ms, value: String(index) }), expectedMs: job.declaredMs[index]
+    payload: JSON.stringify({ ms, value: String(index), fail: job.fails }), expectedMs: job.declaredMs[index]
   }))
   const body = JSON.stringify({
-    id: job.id, service: 'order-desk', tasks, unrepeatable: job.unrepeatable, deadlineMs: DEADLINE_MS
+    id: job.id, service: job.service ?? 'order-desk', tasks, unrepeatable: job.unrepeatable, deadlineMs: DEADLINE_MS
   })
   const startedAt = performance.now()
   try {
--- a/packages/standins/src/measure/types.ts
+++ b/packages/standins/src/measure/types.ts
@@ -1,3 +1,5 @@
+import type { Neighbour } from './neighbours.js'
+
 /** Faults that a trial may cause while its load runs. */
 export const TRIAL_FAULTS = {
   none: 'none',
@@ -18,6 +20,10 @@
 export interface LoadJob {
   id: string
   workspace: string
+  /** Unset for the one that the endpoints offer. */
+  service?: string | undefined
+  /** True if its tasks fail. */
+  fails?: boolean
   /** From the start of the load, in ms. */
   atMs: number
   /** True run time of each task, in ms. */
@@ -41,6 +47,8 @@
   burst: number
   /** Largest job, in tasks. */
   maxTasks: number
+  /** What one more workspace does to the others. */
+  neighbour: Neighbour
 }
 
 /** How a job ended. */
@@ -72,7 +80,7 @@
   /** Response time over that of one central queue without any cost. */
   overQueue: Quantiles
   responseMs: Quantiles
-  /** Of jobs of all workspaces but the one that bursts. */
+  /** Of jobs of all workspaces but those that burst or are set against the others. */
   quietResponseMs: Quantiles
   /** Of one central queue, for the same load. */
   queueMs: Quantiles
