An agent bounds the answers that it keeps; a stop shows its end past a heartbeat

Cause of the first: the agent's ledger kept every answer for memory_ms, with no bound in bytes; at 91 tasks a second and answers of 50 KB that is some 550 MB, and an agent that ends for want of memory fails its jobs.

Change: AnswerBudget keeps the newest answers within answer_memory_bytes; that a task ended, and how, stays known. A job taken over whose answer is gone fails with `answer_dropped` and is never complete with a part missing (test of both).

Cause of the second, found in reading: the last write of a graceful stop met a conflict with a heartbeat under way and was given up, so that the row never showed the end.

--- a/packages/agent/src/startAgent.ts
+++ b/packages/agent/src/startAgent.ts
@@ -46,6 +46,7 @@
     overflowQueue: settings.overflowQueue,
     startAgeMs: settings.startAgeMs,
     memoryMs: settings.memoryMs,
+    maxAnswerSize: settings.answerMemoryBytes,
     observe: createObserver(metrics)
   })
   metrics.gauge({ name: 'hazellift_agent_busy_tasks', help: 'Tasks that run or wait' }, (gauge) => gauge.set(host.busy))
--- a/packages/coordination/src/entries/entryDirectory.ts
+++ b/packages/coordination/src/entries/entryDirectory.ts
@@ -120,7 +120,12 @@
   /** Shows in the table that this entry has ended; peers need not wait for its row to go stale. */
   async stop (): Promise<void> {
     this.stopped = true
-    await this.commitOwnRow(this.options.heartbeatMs)
+    const { heartbeatMs } = this.options
+    const outcome = await this.commitOwnRow(heartbeatMs)
+    // A heartbeat may have been under way.
+    if (outcome.type !== 'conflict' || !this.isOwn(outcome.row)) return
+    this.ownVersion = outcome.row.version
+    await this.commitOwnRow(heartbeatMs)
   }
 
   /**
@@ -168,14 +173,16 @@
 
   /** The row of this entry's earlier process, or an own write whose outcome stayed unknown. */
   private async onRowConflict (row: TableRow): Promise<void> {
-    const isOther = row.version !== 0n &&
-      fromBinary(EntryRecordSchema, row.value).incarnation !== this.options.self().incarnation
-    this.replaced ||= isOther
+    this.replaced ||= row.version !== 0n && !this.isOwn(row)
     const isFirst = this.ownVersion === 0n
     this.ownVersion = row.version
     if (isFirst) await this.write()
   }
 
+  private isOwn (row: TableRow): boolean {
+    return row.version !== 0n && fromBinary(EntryRecordSchema, row.value).incarnation === this.options.self().incarnation
+  }
+
   private async removeRow ({ record, version }: KnownEntry): Promise<void> {
     const { group, clock, heartbeatMs } = this.options
     await group.commit({ key: ENTRY_PREFIX + record.entryId, ifVersion: version, value: undefined }, clock.now() + heartbeatMs)
--- a/packages/coordination/src/health/judgeResult.ts
+++ b/packages/coordination/src/health/judgeResult.ts
@@ -12,7 +12,7 @@
 
 const NEUTRAL_REASONS: ReadonlySet<string> = new Set([
   REASONS.noSlot, REASONS.staleStart, REASONS.endpointGone, REASONS.lostStart, REASONS.revoked, REASONS.takenOver,
-  REASONS.stopCut
+  REASONS.stopCut, REASONS.answerDropped
 ])
 
 /** What a result tells about the endpoint. */
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -34,6 +34,8 @@
   startAgeMs: number
   /** How long ended tasks and revokes are remembered, in ms. */
   memoryMs: number
+  /** Answers of ended tasks that are kept in case a claim is taken over, in characters. */
+  maxAnswerSize?: number
   /** Told of every ended start. */
   observe?: (result: TaskResult) => void
 }
@@ -58,6 +60,13 @@
 /** Least time between frames that only tell of a failure. */
 const FAILURE_PACE_MS = 20
 
+/** The end of a start as it can be told again; one whose answer was dropped must not pass for done. */
+const rememberedResult = ({ key, result, isAnswerDropped }: TaskEntry): TaskResult | undefined => {
+  if (result === undefined) return undefined
+  if (!isAnswerDropped) return { ...result }
+  return create(TaskResultSchema, { key, outcome: TASK_OUTCOMES.failed, reason: REASONS.answerDropped, runMs: result.runMs })
+}
+
 const NO_ENDPOINT = create(EndpointStateSchema)
 
 /**
@@ -76,8 +85,8 @@
   private failureToldAt = -Infinity
 
   constructor (private readonly options: TaskHostOptions) {
-    const { clock, memoryMs, standingCredits } = options
-    this.ledger = new TaskLedger(memoryMs, clock.now)
+    const { clock, memoryMs, standingCredits, maxAnswerSize } = options
+    this.ledger = new TaskLedger(memoryMs, clock.now, maxAnswerSize)
     this.granter = new SlotGranter(standingCredits)
     this.mailboxes = new Mailboxes(clock.now)
   }
@@ -225,7 +234,8 @@
 
   private onDuplicate (incarnation: string, known: TaskEntry): void {
     if (known.recipient !== incarnation) return this.tellTakenOver(incarnation, known.key)
-    if (known.result !== undefined) this.deliver(incarnation, { ...known.result })
+    const result = rememberedResult(known)
+    if (result !== undefined) this.deliver(incarnation, result)
   }
 
   private refuseStart (incarnation: string, key: TaskKey, reason: Reason): void {
@@ -289,7 +299,7 @@
     this.refuseWaitingOf(new Set(before))
     const started = this.ledger.collect(workspace, submission, incarnation, keepMs)
     for (const { origin, key } of started) if (origin !== incarnation) this.tellTakenOver(origin, key)
-    for (const { result } of started) if (result !== undefined) this.deliver(incarnation, { ...result })
+    for (const result of started.map(rememberedResult)) if (result !== undefined) this.deliver(incarnation, result)
     const running = started.filter(({ result }) => result === undefined).map(({ key }) => key)
     this.sessions.get(incarnation)?.add((frame) => {
       frame.collected.push(create(CollectedSchema, { workspace, submission, running }))
--- a/packages/coordination/src/tasks/taskLedger.ts
+++ b/packages/coordination/src/tasks/taskLedger.ts
@@ -1,4 +1,5 @@
 import type { TaskKey, TaskResult } from '@hazellift/protocol'
+import { AnswerBudget } from './answerBudget.js'
 import { submissionKey } from './keys.js'
 
 /** What an agent remembers of one start. */
@@ -10,6 +11,8 @@
   recipient: string
   /** Set once the start ended. */
   result?: TaskResult
+  /** True if the answer was dropped for want of room. */
+  isAnswerDropped?: boolean
   /** Ends the attempt; unset once it ended. */
   abort?: (reason: string) => void
 }
@@ -40,7 +43,16 @@
 export class TaskLedger {
   private readonly submissions = new Map<string, SubmissionEntry>()
 
-  constructor (private readonly memoryMs: number, private readonly now: () => number) {}
+  private readonly answers: AnswerBudget
+
+  /**
+   * @param memoryMs - how long entries are kept at least
+   * @param now - monotonic ms
+   * @param maxAnswerSize - answers kept, in characters
+   */
+  constructor (private readonly memoryMs: number, private readonly now: () => number, maxAnswerSize = Infinity) {
+    this.answers = new AnswerBudget(maxAnswerSize)
+  }
 
   /** The entry of a task that was started, if it is remembered. */
   find ({ workspace, submission, task }: TaskKey): TaskEntry | undefined {
@@ -60,7 +72,10 @@
 
   /** Remembers a start. The caller has checked `find` and `isRevoked`. */
   add (entry: TaskEntry): void {
-    this.touch(entry.key.workspace, entry.key.submission).tasks.set(entry.key.task, entry)
+    const { tasks } = this.touch(entry.key.workspace, entry.key.submission)
+    const before = tasks.get(entry.key.task)
+    if (before !== undefined) this.answers.remove(before)
+    tasks.set(entry.key.task, entry)
   }
 
   /** Forgets a start that is proved not to have reached the endpoint. */
@@ -72,6 +87,7 @@
   finish (entry: TaskEntry, result: TaskResult): void {
     entry.result = result
     delete entry.abort
+    this.answers.add(entry)
     this.touch(entry.key.workspace, entry.key.submission)
   }
 
@@ -120,7 +136,9 @@
     for (const [key, entry] of this.submissions) {
       const isOver = [...entry.tasks.values()].every(({ result }) => result !== undefined)
       const isKept = entry.touchedAt >= oldest || entry.keepUntil > this.now()
-      if (isOver && !isKept) this.submissions.delete(key)
+      if (!isOver || isKept) continue
+      this.submissions.delete(key)
+      for (const task of entry.tasks.values()) this.answers.remove(task)
     }
   }
 
--- a/packages/coordination/tests/dispatch.test.ts
+++ b/packages/coordination/tests/dispatch.test.ts
@@ -54,6 +54,24 @@
   expect(second!.dispatcher.queuedTotal).toBe(1)
 })
 
+test.each([
+  { name: 'was kept', room: 10, complete: 1, failed: [] },
+  { name: 'was dropped for want of room: never complete with a part missing', room: 3, complete: 0, failed: ['task_failed'] }
+])('a job taken over whose first answer $name', async ({ room, complete, failed }) => {
+  const network = new FakeNetwork(2, 1, room)
+  const [first, second] = network.entries
+  first!.dispatcher.add(newJob('j', 2))
+  network.settle()
+  for (const task of network.agents[0]!.running.splice(0)) {
+    task.end(DONE)
+    await flush()
+  }
+  second!.dispatcher.collect(createCollectedJob({ ...JOB_BASE, id: 'j' }, 2), 1000)
+  network.settle()
+  expect(second!.complete).toHaveLength(complete)
+  expect(second!.failed.map(({ reason }) => reason)).toEqual(failed)
+})
+
 describe('a lost session', () => {
   test.each([
     { name: 'within the window: what the agent does not hold is sent elsewhere', silentMs: RESUME_WINDOW_MS - 500, failed: 0 },
--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -45,6 +45,8 @@
   duplicateStart: 'duplicate_start',
   noSlot: 'no_slot',
   lostStart: 'lost_start',
+  /** The task is done, but the agent kept its answer no longer. */
+  answerDropped: 'answer_dropped',
   internal: 'internal'
 } as const
 export type Reason = typeof REASONS[keyof typeof REASONS]
