Tests of faults that come twice: owner and successor killed, the table away twice

Cause: the issue asks for failures "both twice and together"; no test killed the entry that takes over, and none took the table away twice in one job's life.

Change: tests only. That they can fail was tried on the built copy, with results not following the latest collector: "before it can take over" fails (1 of 2); "while it takes over" passes all the same, as its tasks have all ended when the third entry collects, and their results come with the collect. No guard was taken out for the table's test.

Conclusion: the takeover of a takeover holds in these runs.

--- a/tests/failures/entryFailures.test.ts
+++ b/tests/failures/entryFailures.test.ts
@@ -73,3 +73,20 @@
   const told = await submitUntilFinal(cluster, job, [1])
   expect(told).toMatchObject({ state: 'failed', reason: 'owner_lost', run: expect.stringMatching(/ran|may have run/) })
 }))
+
+test.each([
+  { name: 'before it can take over', afterMs: 300 },
+  { name: 'while it takes over', afterMs: 2600 }
+])('the owner is killed, then the entry asked next, $name: the third one answers, and nothing runs again', ({ afterMs }) =>
+  withCluster(async (cluster) => {
+    const job = { id: 'twice', tasks: tasksOf(6, 3000), unrepeatable: true }
+    const first = submit(cluster, job, { entry: 0 })
+    await sleep(400)
+    cluster.entries[0]!.kill('SIGKILL')
+    const second = submit(cluster, job, { entry: 1 })
+    await sleep(afterMs)
+    cluster.entries[1]!.kill('SIGKILL')
+    expect([(await first).status, (await second).status]).toEqual([0, 0])
+    expect(await submitUntilFinal(cluster, job, [2])).toMatchObject({ state: 'complete', run: 'ran' })
+    expect(startsOf(cluster, 'twice')).toHaveLength(6)
+  }, { entries: 3 }))
--- a/tests/failures/platformFailures.test.ts
+++ b/tests/failures/platformFailures.test.ts
@@ -166,3 +166,20 @@
     const told = await submit(cluster, job, { entry: 1 })
     if (told.status !== 200) expect(told).toMatchObject({ run: 'may have run' })
   }))
+
+test('the table goes away twice, first while a job is claimed and then while it ends: one answer, and each task once', () =>
+  withCluster(async (cluster) => {
+    const job = { id: 'two-outages', tasks: tasksOf(4, 800), unrepeatable: true }
+    await cluster.setPlatform({ mode: 'hang' })
+    await submit(cluster, job, { entry: 0 })
+    await cluster.setPlatform({ mode: 'ok' })
+    const told = submitUntilFinal(cluster, job, [0, 1])
+    await cluster.waitUntil('the job runs', () => startsOf(cluster, job.id).length === 4)
+    await cluster.setPlatform({ mode: 'refuse' })
+    await sleep(1500)
+    await cluster.setPlatform({ mode: 'ok' })
+    const answer = await told
+    expect(answer).toMatchObject({ state: 'complete' })
+    expect(startsOf(cluster, job.id)).toHaveLength(4)
+    expect(await ask(cluster, job.id, { entry: 1 })).toMatchObject({ state: 'complete', results: answer.results })
+  }))
