Clients of the table and the objects are in packages/store

The name packages/platform is needed by no part of the product: the word is the delivery platform's, and its adapter will stand in platform/.

--- a/packages/coordination/src/claims/claimRows.ts
+++ b/packages/coordination/src/claims/claimRows.ts
@@ -1,7 +1,7 @@
 import { fromBinary, toBinary } from '@bufbuild/protobuf'
 import { ClaimRecordSchema } from '@hazellift/protocol'
 import type { ClaimRecord } from '@hazellift/protocol'
-import type { TableRow } from '@hazellift/platform'
+import type { TableRow } from '@hazellift/store'
 import { submissionKey } from '../tasks/keys.js'
 
 /** Prefix of all claim rows. */
--- a/packages/coordination/src/claims/groupRead.ts
+++ b/packages/coordination/src/claims/groupRead.ts
@@ -1,6 +1,6 @@
 import type { Result } from '@hazellift/common'
 import { ok } from '@hazellift/common'
-import type { StoreFault, TableRow, TableService } from '@hazellift/platform'
+import type { StoreFault, TableRow, TableService } from '@hazellift/store'
 
 interface PendingRead {
   key: string
--- a/packages/coordination/src/config/configStore.ts
+++ b/packages/coordination/src/config/configStore.ts
@@ -3,7 +3,7 @@
 import type { Clock, Result } from '@hazellift/common'
 import { ConfigChangeSchema, ConfigHeadSchema, PolicyRecordSchema, WorkspaceRecordSchema } from '@hazellift/protocol'
 import type { ConfigChange, PolicyRecord, WorkspaceRecord } from '@hazellift/protocol'
-import type { StoreFault, TableRow, TableService, TableWrite } from '@hazellift/platform'
+import type { StoreFault, TableRow, TableService, TableWrite } from '@hazellift/store'
 import { CONFIG_KINDS, CONFIG_ROWS, configKey, historyKey } from './configRows.js'
 import type { ConfigKind } from './configRows.js'
 
--- a/packages/coordination/src/entries/entryDirectory.test.ts
+++ b/packages/coordination/src/entries/entryDirectory.test.ts
@@ -1,5 +1,5 @@
 import { fromBinary } from '@bufbuild/protobuf'
-import type { CommitOutcome, TableRow, TableWrite } from '@hazellift/platform'
+import type { CommitOutcome, TableRow, TableWrite } from '@hazellift/store'
 import { EntryRecordSchema } from '@hazellift/protocol'
 import { expect, test } from 'vitest'
 import { createFakeClock } from '../../tests/fakeClock.js'
--- a/packages/coordination/src/entries/entryDirectory.ts
+++ b/packages/coordination/src/entries/entryDirectory.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@hazellift/common'
 import { EntryRecordSchema } from '@hazellift/protocol'
 import type { EntryRecord } from '@hazellift/protocol'
-import type { CommitOutcome, GroupCommit, TableRow, TableService } from '@hazellift/platform'
+import type { CommitOutcome, GroupCommit, TableRow, TableService } from '@hazellift/store'
 import { ENTRY_PREFIX, EntryRoster } from './entryRoster.js'
 import type { KnownEntry } from './entryRoster.js'
 
--- a/packages/coordination/src/entries/entryRoster.test.ts
+++ b/packages/coordination/src/entries/entryRoster.test.ts
@@ -1,5 +1,5 @@
 import { create, toBinary } from '@bufbuild/protobuf'
-import type { TableRow } from '@hazellift/platform'
+import type { TableRow } from '@hazellift/store'
 import { EntryRecordSchema } from '@hazellift/protocol'
 import { expect, test } from 'vitest'
 import { ENTRY_PREFIX, EntryRoster } from './entryRoster.js'
--- a/packages/coordination/src/entries/entryRoster.ts
+++ b/packages/coordination/src/entries/entryRoster.ts
@@ -1,7 +1,7 @@
 import { fromBinary } from '@bufbuild/protobuf'
 import { EntryRecordSchema } from '@hazellift/protocol'
 import type { EntryRecord } from '@hazellift/protocol'
-import type { TableRow } from '@hazellift/platform'
+import type { TableRow } from '@hazellift/store'
 
 /** Prefix of the rows by which entries show that they live. */
 export const ENTRY_PREFIX = 'entry/'
--- a/packages/entry/src/createEntryParts.ts
+++ b/packages/entry/src/createEntryParts.ts
@@ -4,8 +4,8 @@
   Admission, ClaimStore, ConfigStore, ConfigWatch, Dispatcher, EntryAnnouncement, EntryDirectory, JOB_ORDERS, JobService, OwnedJobs, PICK_RULES
 } from '@hazellift/coordination'
 import type { DispatchEvents, JobOrder, PickRule } from '@hazellift/coordination'
-import { GroupCommit, createHttpObjects, createHttpTable } from '@hazellift/platform'
-import type { StoreObserver } from '@hazellift/platform'
+import { GroupCommit, createHttpObjects, createHttpTable } from '@hazellift/store'
+import type { StoreObserver } from '@hazellift/store'
 import { REASONS } from '@hazellift/protocol'
 import type { EntrySettings } from '@hazellift/protocol'
 import { ulid } from 'ulid'
--- a/packages/standins/src/platform/memoryTable.ts
+++ b/packages/standins/src/platform/memoryTable.ts
@@ -1,4 +1,4 @@
-import type { TableRow, TableWrite, TransactOutcome } from '@hazellift/platform'
+import type { TableRow, TableWrite, TransactOutcome } from '@hazellift/store'
 
 const byKey = (a: string, b: string): number => a < b ? -1 : 1
 
