--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 /** Packages in the order of dependency: each may import only those before it. */
-const LAYERS = ['common', 'protocol', 'store', 'coordination', 'entry', 'agent', 'standins']
+const LAYERS = ['common', 'protocol', 'store', 'coordination', 'sessions', 'entry', 'agent', 'standins']
 
 const forbiddenFor = (name) => {
   const later = LAYERS.slice(LAYERS.indexOf(name))
--- a/packages/agent/src/startAgent.ts
+++ b/packages/agent/src/startAgent.ts
@@ -4,11 +4,10 @@
 import type { Metrics } from '@hazellift/common'
 import { TaskHost } from '@hazellift/coordination'
 import type { AgentSettings, TaskResult } from '@hazellift/protocol'
+import { EntryDialer, dialEntry } from '@hazellift/sessions'
 import { ulid } from 'ulid'
 import { AnnouncedEndpoint } from './endpoint/announcedEndpoint.js'
 import { createAgentServer } from './http/createAgentServer.js'
-import { dialEntry } from './sessions/dialEntry.js'
-import { EntryDialer } from './sessions/entryDialer.js'
 
 /** A running agent. */
 export interface RunningAgent {
--- a/packages/common/src/createLogger.ts
+++ b/packages/common/src/createLogger.ts
@@ -6,6 +6,18 @@
 /** Writes one line for an event. */
 export type Logger = (event: string, fields?: Record<string, LogValue>) => void
 
+/** Takes finished lines, each without its newline. */
+export type LogSink = (line: string) => void
+
+const sinkState: { write: LogSink } = { write: (line) => { process.stderr.write(`${line}\n`) } }
+
+/**
+ * Sends all log lines elsewhere; they go to standard error at first.
+ *
+ * @param sink - must not block
+ */
+export const setLogSink = (sink: LogSink): void => { sinkState.write = sink }
+
 const NEEDS_QUOTES = /[\s="\\]/
 
 const formatValue = (value: Exclude<LogValue, undefined>): string => {
@@ -33,7 +45,7 @@
 export const createLogger = (namespace: string): Logger => {
   const full = `hazellift:${namespace}`
   const write = createDebug(full)
-  write.log = (line: string) => process.stderr.write(`${line}\n`)
+  write.log = (line: string) => sinkState.write(line)
   return (event, fields) => {
     if (!write.enabled) return
     // A fixed prefix instead of debug's own keeps the line pure key=value on terminals too.
--- a/packages/common/src/createMetrics.ts
+++ b/packages/common/src/createMetrics.ts
@@ -22,11 +22,13 @@
 /**
  * A registry with the process's own metrics.
  *
+ * @param options - `ofProcess: false` leaves the process's own out: their
+ *   sampling wakes the process a hundred times a second
  * @returns makers of further metrics
  */
-export const createMetrics = (): Metrics => {
+export const createMetrics = ({ ofProcess = true }: { ofProcess?: boolean } = {}): Metrics => {
   const registry = new Registry()
-  collectDefaultMetrics({ register: registry })
+  if (ofProcess) collectDefaultMetrics({ register: registry })
   const base = ({ name, help, labels = [] }: MetricOptions) =>
     ({ name, help, labelNames: [...labels], registers: [registry] })
   return {
--- /dev/null
+++ b/packages/common/src/logToStdout.ts
@@ -0,0 +1,37 @@
+import { SonicBoom } from 'sonic-boom'
+import { setLogSink } from './createLogger.js'
+
+/** Log lines on their way to standard output. */
+export interface LogOutput {
+  /** Lines dropped so far, as the reader did not keep up. */
+  dropped: () => number
+  /** Writes what is left, blocking; for the end of the process only. */
+  flush: () => void
+}
+
+/** Lines are written together once there are so many bytes of them. */
+const WRITE_BYTES = 8192
+/** Longest time that a line waits for others, in ms. */
+const FLUSH_MS = 250
+/** Lines beyond this many waiting bytes are dropped: a slow reader must not cost memory or time. */
+const MAX_WAITING_BYTES = 1_048_576
+
+/** Sends all log lines to standard output through a bounded buffer; writing never blocks. */
+export const logToStdout = (): LogOutput => {
+  const output = new SonicBoom({ fd: 1, sync: false, minLength: WRITE_BYTES, maxLength: MAX_WAITING_BYTES, periodicFlush: FLUSH_MS })
+  let dropped = 0
+  output.on('drop', () => { dropped++ })
+  // Without a reader there is nobody to tell; the drops are counted.
+  output.on('error', () => { dropped++ })
+  setLogSink((line) => { output.write(`${line}\n`) })
+  return {
+    dropped: () => dropped,
+    flush: () => {
+      try {
+        output.flushSync()
+      } catch {
+        dropped++
+      }
+    }
+  }
+}
--- a/packages/coordination/src/dispatch/agentHandle.ts
+++ b/packages/coordination/src/dispatch/agentHandle.ts
@@ -1,15 +1,6 @@
-import type { EntryFrame } from '@hazellift/protocol'
+import type { AgentLink } from '../session/types.js'
 import type { Job } from '../jobs/job.js'
 
-/** The open session to an agent, as the dispatcher uses it. */
-export interface AgentLink {
-  /** Adds to the next frame. */
-  add: (add: (frame: EntryFrame) => void) => void
-  /** Acknowledges results up to this one with whatever frame goes next; asks for none. */
-  acknowledge: (seq: bigint) => void
-  close: () => void
-}
-
 /** A start in flight. */
 export interface SentTask {
   job: Job
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -7,7 +7,8 @@
 import type { JobOrder } from '../queue/fairQueue.js'
 import { submissionKey, taskKey } from '../tasks/keys.js'
 import { createAgentHandle } from './agentHandle.js'
-import type { AgentHandle, AgentLink } from './agentHandle.js'
+import type { AgentHandle } from './agentHandle.js'
+import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { refreshDemand, returnExcess, spreadDemand } from './demand.js'
 import { InFlight } from './inFlight.js'
 import type { PickRule } from './pickRules.js'
@@ -57,7 +58,7 @@
  * Invariant: a task is in exactly one state, and leaves `sent` only by a
  * result, by proof that its start was not accepted, or with its job's failure.
  */
-export class Dispatcher {
+export class Dispatcher implements SessionDispatcher<AgentHandle> {
   private readonly services: ServiceRegistry
   private readonly agents = new Map<string, AgentHandle>()
   private readonly jobs = new Map<string, Job>()
--- /dev/null
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -0,0 +1,91 @@
+import type { EndpointState, Hello, Room } from '@hazellift/protocol'
+import type { AgentLink } from '../session/types.js'
+import type { LeasedJob } from './leasedJob.js'
+import { fits } from './types.js'
+import type { Resources } from './types.js'
+
+/** An order sent to an agent and not proved to be over. */
+export interface SentRun {
+  job: LeasedJob
+  index: number
+  attempt: number
+  sentAt: number
+}
+
+const NO_ROOM: Resources = { cpuMilli: 0, memoryMb: 0 }
+
+/** What an entry knows of one process of an agent, and what it has ordered there. */
+export class LeasedAgent {
+  readonly agentId: string
+  readonly incarnation: string
+  readonly zone: string
+  service = ''
+  /** Life of the endpoint; empty until the agent has proved that nothing else runs there. */
+  endpoint = ''
+  capacity = NO_ROOM
+  link: AgentLink | undefined
+  /** False until the agent told what it holds. */
+  isResumed = false
+  isLeaving = false
+  /** The agent's own clock, as it said last. */
+  stampMs = 0
+  /** When its last frame was read. */
+  heardAt = 0
+  /** When it was last echoed to the agent. */
+  echoedAt = 0
+  configVersion = 0n
+  readonly sent = new Map<string, SentRun>()
+  private told = NO_ROOM
+  private startsSeen = 0
+  /** Needs of the starts sent on this session, those that the told room does not reflect yet last. */
+  private unseen: Resources[] = []
+
+  constructor ({ agentId, incarnation, zone }: Hello) {
+    this.agentId = agentId
+    this.incarnation = incarnation
+    this.zone = zone
+  }
+
+  /** What can be sent on top of everything sent before. */
+  get room (): Resources {
+    return this.unseen.reduce((room, need) => ({
+      cpuMilli: room.cpuMilli - need.cpuMilli,
+      memoryMb: room.memoryMb - need.memoryMb
+    }), this.told)
+  }
+
+  /** True if the task fits into what the agent told last. */
+  hasRoomFor (need: Resources): boolean {
+    return fits(need, this.room)
+  }
+
+  /** A new session: nothing of an earlier one counts. */
+  connect (link: AgentLink, now: number): void {
+    this.link?.close()
+    this.link = link
+    this.heardAt = now
+    this.isResumed = false
+    this.told = NO_ROOM
+    this.startsSeen = 0
+    this.unseen = []
+  }
+
+  /** The agent told its room. */
+  setRoom ({ cpuMilli, memoryMb, startsSeen }: Room): void {
+    this.unseen.splice(0, startsSeen - this.startsSeen)
+    this.startsSeen = startsSeen
+    this.told = { cpuMilli, memoryMb }
+  }
+
+  setEndpoint ({ service, incarnation, capacity }: EndpointState): void {
+    this.service = service
+    this.endpoint = incarnation
+    this.capacity = capacity ?? NO_ROOM
+    if (service === '') this.told = NO_ROOM
+  }
+
+  /** A start was sent. */
+  reserve (need: Resources): void {
+    this.unseen.push(need)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -0,0 +1,519 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock } from '@hazellift/common'
+import { LeasedStartSchema, LeasedTaskSchema, REASONS, RevokeSchema, RoomSchema, TASK_OUTCOMES, TaskKeySchema } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame, Hello, Reason, TaskResult } from '@hazellift/protocol'
+import { EndpointHealth } from '../health/endpointHealth.js'
+import type { AgentLink, SessionDispatcher } from '../session/types.js'
+import { taskKey } from '../tasks/keys.js'
+import { ConfigCopy } from './configCopy.js'
+import { LeasedAgent } from './leasedAgent.js'
+import type { SentRun } from './leasedAgent.js'
+import { LEASED_TASK_STATES, createLeasedJob } from './leasedJob.js'
+import type { LeasedJob, LeasedJobEnd, LeasedJobSpec } from './leasedJob.js'
+import { LeasedQueue } from './leasedQueue.js'
+import { RunTimes } from './runTimes.js'
+import { provedOverMs } from './times.js'
+import type { LeaseTimes } from './times.js'
+import type { Resources } from './types.js'
+
+/** What the dispatcher tells its owner, for logs and metrics. */
+export interface LeasedDispatchEvents {
+  ended: (job: LeasedJob, end: LeasedJobEnd) => void
+  /** Starts went out. */
+  sent: (job: LeasedJob, agentId: string, tasks: number[], room: Resources) => void
+  /** A run that takes too long is being stopped, to run elsewhere. */
+  moved: (job: LeasedJob, index: number, agentId: string, runMs: number) => void
+  /** A task waits again. */
+  requeued: (job: LeasedJob, index: number, agentId: string, reason: Reason) => void
+  /** A run ended, or a start was turned away. */
+  result: (agentId: string, result: TaskResult) => void
+  agentChanged: (agent: LeasedAgent, change: 'session_open' | 'session_closed' | 'endpoint' | 'leaving') => void
+  agentLost: (agentId: string, silentMs: number, tasks: number) => void
+  /** An agent holds a newer configuration document than this entry. */
+  configSeen: (version: bigint, document: Uint8Array) => void
+}
+
+/** What the dispatcher needs. */
+export interface LeasedDispatcherOptions {
+  clock: Clock
+  zone: string
+  times: LeaseTimes
+  events: LeasedDispatchEvents
+  setAsideShare: number
+  setAsideBackoff: (times: number) => number
+  /** Entries that share the endpoints, this one included. */
+  entryCount: () => number
+  /** Runs `fn` after the events that are ready now. */
+  defer: (fn: () => void) => void
+}
+
+interface ServiceState {
+  queue: LeasedQueue
+  health: EndpointHealth
+  isPumpDue: boolean
+}
+
+/** An agent that was silent for longer gets no start: it may be lost. A few keep-alives long. */
+const QUIET_MS = 400
+/** How long a start may wait at its agent for room that other entries' tasks took meanwhile. */
+const AGENT_WAIT_MS = 20
+/** Frames of an agent are echoed no more often than this. */
+const ECHO_PACE_MS = 80
+/** Crossing zones costs a round trip of about a millisecond. */
+const ZONE_PENALTY_MS = 1
+/** Below this, differences of observed speed are noise. */
+const NOTABLE_SLOWNESS = 1.1
+/** Scale of run times in the health records, which compare them with the expected ones. */
+const EXPECTED_SCALE_MS = 100
+/** A run this many times longer than expected is moved, if another endpoint has room. */
+const STRAGGLER_FACTOR = 2.5
+/** Runs that are only this much longer than expected are not moved: moving costs a stop and a new start. */
+const STRAGGLER_MIN_MS = 150
+/** Pause before a task is sent again that an earlier entry's order still holds. */
+const DUPLICATE_PAUSE_MS = 150
+/** Backlog that an entry may take on before it refuses, over what it can start in time. */
+const MAX_WAITING_JOBS = 2000
+
+/** Reasons after which the task itself was at fault, or its endpoint. */
+const COUNTED_REASONS: ReadonlySet<string> = new Set([REASONS.endpointError])
+
+/**
+ * Jobs of one entry that are not kept, and the orders it has sent.
+ *
+ * Invariant: a task is sent only while none of its earlier orders can run. An
+ * order is over when its agent says so, when the agent's next process has
+ * proved that nothing runs there, or `provedOverMs` after the last frame read
+ * from its agent.
+ */
+export class LeasedDispatcher implements SessionDispatcher<LeasedAgent> {
+  private readonly services = new Map<string, ServiceState>()
+  private readonly agents = new Map<string, LeasedAgent>()
+  /** Processes of agents that another one has replaced, until their orders are over. */
+  private readonly replaced = new Set<LeasedAgent>()
+  private readonly jobs = new Map<string, LeasedJob>()
+  private readonly runTimes = new RunTimes()
+  private readonly config = new ConfigCopy()
+
+  constructor (private readonly options: LeasedDispatcherOptions) {}
+
+  /** Jobs not ended. */
+  get openJobs (): number {
+    let open = 0
+    for (const { end } of this.jobs.values()) if (end === undefined) open++
+    return open
+  }
+
+  /** Jobs of a kind of which nothing was started. */
+  pendingOf (kind: string): number {
+    let pending = 0
+    for (const { queue } of this.services.values()) {
+      for (const job of queue) if (job.kind === kind && job.mayHaveRun === 0) pending++
+    }
+    return pending
+  }
+
+  /** Agents with a session. */
+  get connectedAgents (): number {
+    let connected = 0
+    for (const { link } of this.agents.values()) if (link !== undefined) connected++
+    return connected
+  }
+
+  /** The job under this key, also if only its last orders are not over. */
+  find (key: string): LeasedJob | undefined {
+    return this.jobs.get(key)
+  }
+
+  /**
+   * Takes a job on, or refuses it. No job with its key may be known here.
+   *
+   * @param onEnd - told of the end, once
+   */
+  submit (spec: LeasedJobSpec, onEnd: (end: LeasedJobEnd) => void): LeasedJob {
+    const { clock } = this.options
+    const job = createLeasedJob(spec, clock.now(), this.runTimes.expect(spec.kind, spec.estimateMs), onEnd)
+    const refusal = this.refusalOf(job)
+    if (refusal !== undefined) {
+      this.finish(job, refusal)
+      return job
+    }
+    this.jobs.set(job.key, job)
+    this.serviceOf(job.service).queue.add(job)
+    this.schedulePump(job.service)
+    return job
+  }
+
+  /** Ends a job early: what waits is dropped, what runs is stopped. */
+  cancel (job: LeasedJob, reason: Reason, message: string): void {
+    if (job.end !== undefined) return
+    this.finish(job, { type: 'failed', reason, message })
+  }
+
+  /** Looks at what time has changed; to be called a few tens of times a second. */
+  sweep (): void {
+    const now = this.options.clock.now()
+    for (const agent of [...this.agents.values(), ...this.replaced]) this.checkLost(agent, now)
+    for (const job of [...this.jobs.values()]) this.checkTimes(job, now)
+    for (const service of this.services.keys()) this.schedulePump(service)
+  }
+
+  /** A configuration document came into force here; agents keep it for other entries. */
+  setConfig (version: bigint, document: Uint8Array): void {
+    if (!this.config.offer(version, document)) return
+    for (const agent of this.agents.values()) this.offerConfig(agent)
+  }
+
+  open (hello: Hello, link: AgentLink): LeasedAgent {
+    const known = this.agents.get(hello.agentId)
+    const isSame = known?.incarnation === hello.incarnation
+    if (known !== undefined && !isSame) this.replace(known)
+    const agent = known !== undefined && isSame ? known : new LeasedAgent(hello)
+    this.agents.set(agent.agentId, agent)
+    agent.connect(link, this.options.clock.now())
+    this.options.events.agentChanged(agent, 'session_open')
+    return agent
+  }
+
+  closed (agent: LeasedAgent, link: AgentLink): void {
+    if (agent.link !== link) return
+    agent.link = undefined
+    this.options.events.agentChanged(agent, 'session_closed')
+  }
+
+  stamp (agent: LeasedAgent, frame: EntryFrame): void {
+    frame.echoStampMs = agent.stampMs
+    frame.configVersion = this.config.version
+    frame.wantsRoom = (this.services.get(agent.service)?.queue.size ?? 0) > 0
+    agent.echoedAt = this.options.clock.now()
+  }
+
+  onFrame (agent: LeasedAgent, link: AgentLink, frame: AgentFrame): void {
+    if (agent.link !== link) return
+    const now = this.options.clock.now()
+    agent.stampMs = frame.stampMs
+    agent.heardAt = now
+    this.onConfig(agent, frame)
+    if (frame.endpoint !== undefined) this.onEndpoint(agent, frame)
+    else if (frame.leaving) this.onLeaving(agent)
+    if (frame.resume !== undefined) this.onResume(agent, frame.resume.held.map(taskKey))
+    for (const result of frame.results) this.onResult(agent, result)
+    if (frame.room !== undefined) agent.setRoom(frame.room)
+    if (now - agent.echoedAt >= ECHO_PACE_MS) link.add(() => {})
+    if (agent.service !== '') this.schedulePump(agent.service)
+  }
+
+  private onConfig (agent: LeasedAgent, { configVersion, config }: AgentFrame): void {
+    agent.configVersion = configVersion
+    if (config.length > 0 && this.config.offer(configVersion, config)) this.options.events.configSeen(configVersion, config)
+    if (configVersion > this.config.version) agent.link?.add((frame) => { frame.wantsConfig = true })
+    else this.offerConfig(agent)
+  }
+
+  private offerConfig (agent: LeasedAgent): void {
+    if (agent.configVersion >= this.config.version) return
+    agent.configVersion = this.config.version
+    agent.link?.add((frame) => { frame.config = this.config.document })
+  }
+
+  private onEndpoint (agent: LeasedAgent, { endpoint, leaving }: AgentFrame): void {
+    if (agent.service !== '') this.serviceOf(agent.service).health.remove(agent.agentId)
+    agent.setEndpoint(endpoint!)
+    agent.isLeaving = leaving
+    this.options.events.agentChanged(agent, 'endpoint')
+    if (agent.service === '') return
+    this.serviceOf(agent.service).health.add(agent.agentId)
+    // Its endpoint has shown that nothing of an earlier process of the agent runs any more.
+    for (const earlier of [...this.replaced]) if (earlier.agentId === agent.agentId) this.lose(earlier, REASONS.agentLost)
+  }
+
+  private onLeaving (agent: LeasedAgent): void {
+    agent.isLeaving = true
+    this.options.events.agentChanged(agent, 'leaving')
+  }
+
+  /** A start that the agent does not hold was never accepted: the earlier session ended before this one began. */
+  private onResume (agent: LeasedAgent, held: string[]): void {
+    agent.isResumed = true
+    const heldKeys = new Set(held)
+    for (const [key, sent] of [...agent.sent]) {
+      if (heldKeys.has(key)) continue
+      agent.sent.delete(key)
+      this.onNotStarted(agent, sent, REASONS.lostStart)
+    }
+  }
+
+  private onResult (agent: LeasedAgent, result: TaskResult): void {
+    agent.link?.acknowledge(result.seq)
+    const key = taskKey(result.key!)
+    const sent = agent.sent.get(key)
+    if (sent === undefined) return
+    agent.sent.delete(key)
+    this.options.events.result(agent.agentId, result)
+    const reason = result.reason as Reason
+    if (result.outcome === TASK_OUTCOMES.done) return this.onDone(agent, sent, result.runMs)
+    if (result.outcome === TASK_OUTCOMES.notStarted) return this.onNotStarted(agent, sent, reason)
+    this.onFailed(agent, sent, reason)
+  }
+
+  private onDone (agent: LeasedAgent, { job, index }: SentRun, runMs: number): void {
+    const ratio = runMs / Math.max(1, this.runTimes.expect(job.kind, job.estimateMs))
+    this.healthOf(agent)?.succeeded(agent.agentId, ratio * EXPECTED_SCALE_MS)
+    this.runTimes.observe(job.kind, job.estimateMs, runMs)
+    job.unproved--
+    job.longestRunMs = Math.max(job.longestRunMs, runMs)
+    job.tasks[index]!.state = LEASED_TASK_STATES.done
+    job.doneCount++
+    if (job.doneCount === job.count) this.finish(job, { type: 'complete' })
+    this.forgetIfOver(job)
+  }
+
+  private onNotStarted (agent: LeasedAgent, { job, index }: SentRun, reason: Reason): void {
+    const isTurnedAway = reason === REASONS.endpointBusy || reason === REASONS.orderUnanswered
+    if (isTurnedAway) {
+      this.healthOf(agent)?.failed(agent.agentId)
+      job.tasks[index]!.avoid.add(agent.agentId)
+    }
+    job.mayHaveRun--
+    if (reason !== REASONS.duplicateStart) return this.requeue(agent, job, index, reason)
+    // An earlier entry's run of this task is not over yet; nowhere may another one begin.
+    this.options.clock.after(DUPLICATE_PAUSE_MS, () => this.requeue(agent, job, index, reason))
+  }
+
+  private onFailed (agent: LeasedAgent, { job, index }: SentRun, reason: Reason): void {
+    const task = job.tasks[index]!
+    task.attempt++
+    if (task.isMoving) task.avoid.add(agent.agentId)
+    if (!COUNTED_REASONS.has(reason)) return this.requeue(agent, job, index, reason)
+    this.healthOf(agent)?.failed(agent.agentId)
+    task.failures++
+    task.avoid.add(agent.agentId)
+    if (task.failures >= job.attempts && job.end === undefined) {
+      this.finish(job, { type: 'failed', reason: REASONS.taskFailed, message: `task ${index} failed ${task.failures} times` })
+    }
+    this.requeue(agent, job, index, reason)
+  }
+
+  /** An order is over and its task is not done. */
+  private requeue (agent: LeasedAgent, job: LeasedJob, index: number, reason: Reason): void {
+    const task = job.tasks[index]!
+    job.unproved--
+    task.state = LEASED_TASK_STATES.queued
+    task.isMoving = false
+    if (job.end !== undefined) return this.forgetIfOver(job)
+    this.options.events.requeued(job, index, agent.agentId, reason)
+    job.queue.push(index)
+    this.serviceOf(job.service).queue.add(job)
+    this.schedulePump(job.service)
+  }
+
+  private replace (agent: LeasedAgent): void {
+    agent.link?.close()
+    agent.link = undefined
+    this.agents.delete(agent.agentId)
+    if (agent.service !== '') this.serviceOf(agent.service).health.remove(agent.agentId)
+    if (agent.sent.size > 0) this.replaced.add(agent)
+  }
+
+  private checkLost (agent: LeasedAgent, now: number): void {
+    const silentMs = now - agent.heardAt
+    if (silentMs < provedOverMs(this.options.times)) return
+    if (agent.sent.size > 0) this.options.events.agentLost(agent.agentId, Math.round(silentMs), agent.sent.size)
+    this.lose(agent, REASONS.agentLost)
+    if (agent.link === undefined && this.agents.get(agent.agentId) === agent) this.replace(agent)
+  }
+
+  /** Nothing that was sent to this process of the agent can run any more. */
+  private lose (agent: LeasedAgent, reason: Reason): void {
+    this.replaced.delete(agent)
+    const lost = [...agent.sent.values()]
+    agent.sent.clear()
+    for (const { job, index } of lost) {
+      job.tasks[index]!.attempt++
+      this.requeue(agent, job, index, reason)
+    }
+  }
+
+  private checkTimes (job: LeasedJob, now: number): void {
+    if (job.end !== undefined) return
+    if (now >= job.deadlineAt) return this.cancel(job, REASONS.deadline, 'the caller\'s deadline has passed')
+    if (job.mayHaveRun === 0 && now + job.expectedMs > job.uselessAt) {
+      return this.finish(job, this.overload('no room came free in time'))
+    }
+    this.moveStragglers(job, now)
+  }
+
+  private overload (message: string): LeasedJobEnd {
+    return { type: 'refused', reason: REASONS.overload, message, retryAfterMs: 1000 }
+  }
+
+  /** Stops runs that take far longer than others of their kind, so that they can run elsewhere. */
+  private moveStragglers (job: LeasedJob, now: number): void {
+    if (job.unproved === 0) return
+    const usualMs = Math.max(job.expectedMs, job.longestRunMs)
+    const limitMs = Math.max(STRAGGLER_FACTOR * usualMs, usualMs + STRAGGLER_MIN_MS)
+    for (const agent of this.agents.values()) {
+      for (const sent of agent.sent.values()) {
+        const task = job.tasks[sent.index]!
+        if (sent.job !== job || task.isMoving || now - sent.sentAt < limitMs) continue
+        if (task.avoid.size > 0 || this.choose(job, sent.index, agent) === undefined) continue
+        task.isMoving = true
+        this.options.events.moved(job, sent.index, agent.agentId, now - sent.sentAt)
+        this.healthOf(agent)?.failed(agent.agentId)
+        this.revoke(agent, job, [sent.index])
+      }
+    }
+  }
+
+  private revoke (agent: LeasedAgent, { workspace, id }: LeasedJob, tasks: number[]): void {
+    agent.link?.add((frame) => {
+      frame.revokes.push(create(RevokeSchema, { workspace, submission: id, tasks }))
+    })
+  }
+
+  private finish (job: LeasedJob, end: LeasedJobEnd): void {
+    if (job.end !== undefined) return
+    job.end = end
+    job.queue = []
+    this.services.get(job.service)?.queue.remove(job)
+    if (end.type === 'failed') this.revokeAll(job)
+    this.options.events.ended(job, end)
+    job.onEnd(end)
+    this.forgetIfOver(job)
+  }
+
+  private revokeAll (job: LeasedJob): void {
+    for (const agent of this.agents.values()) {
+      const isThere = [...agent.sent.values()].some((sent) => sent.job === job)
+      if (isThere) this.revoke(agent, job, [])
+    }
+  }
+
+  private forgetIfOver (job: LeasedJob): void {
+    if (job.end === undefined || job.unproved > 0) return
+    if (this.jobs.get(job.key) === job) this.jobs.delete(job.key)
+    job.onOver?.()
+    job.onOver = undefined
+  }
+
+  private refusalOf (job: LeasedJob): LeasedJobEnd | undefined {
+    const agents = this.agentsOf(job.service)
+    const capacity = agents.reduce((sum, agent) => sum + agent.capacity.cpuMilli, 0)
+    if (capacity === 0) {
+      return { type: 'refused', reason: REASONS.noEndpoint, message: `no endpoint serves '${job.service}' now`, retryAfterMs: 1000 }
+    }
+    const { queue } = this.serviceOf(job.service)
+    if (queue.size >= MAX_WAITING_JOBS) return this.overload('too many jobs wait')
+    const ownMilli = Math.max(this.runningMilli(job.service), capacity / Math.max(1, this.options.entryCount()))
+    const waitMs = queue.workAhead(job.priority, workLeft) / ownMilli
+    if (job.arrivedAt + waitMs + job.expectedMs <= job.uselessAt) return undefined
+    return this.overload(`the jobs ahead take about ${Math.round(waitMs)} ms`)
+  }
+
+  /** Processor share in use by this entry's orders. */
+  private runningMilli (service: string): number {
+    let milli = 0
+    for (const agent of this.agentsOf(service)) {
+      for (const { job } of agent.sent.values()) milli += job.need.cpuMilli
+    }
+    return milli
+  }
+
+  private agentsOf (service: string): LeasedAgent[] {
+    return [...this.agents.values()].filter((agent) => agent.service === service && agent.link !== undefined && !agent.isLeaving)
+  }
+
+  private serviceOf (name: string): ServiceState {
+    const known = this.services.get(name)
+    if (known !== undefined) return known
+    const { clock, setAsideShare, setAsideBackoff } = this.options
+    const health = new EndpointHealth({ now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff })
+    const service = { queue: new LeasedQueue(), health, isPumpDue: false }
+    this.services.set(name, service)
+    return service
+  }
+
+  private healthOf (agent: LeasedAgent): EndpointHealth | undefined {
+    return this.services.get(agent.service)?.health
+  }
+
+  private schedulePump (name: string): void {
+    const service = this.serviceOf(name)
+    if (service.isPumpDue || service.queue.size === 0) return
+    service.isPumpDue = true
+    this.options.defer(() => {
+      service.isPumpDue = false
+      this.pump(service)
+    })
+  }
+
+  private pump ({ queue }: ServiceState): void {
+    for (const job of queue.inOrder(this.options.clock.now())) {
+      if (!this.place(job)) return
+      queue.remove(job)
+    }
+  }
+
+  /**
+   * Sends as many tasks of the job as there is room for.
+   *
+   * @returns false if some are left
+   */
+  private place (job: LeasedJob): boolean {
+    const placed = new Map<LeasedAgent, number[]>()
+    while (job.queue.length > 0) {
+      const index = job.queue.at(-1)!
+      const agent = this.choose(job, index)
+      if (agent === undefined) break
+      job.queue.pop()
+      agent.reserve(job.need)
+      placed.set(agent, [...placed.get(agent) ?? [], index])
+    }
+    for (const [agent, indexes] of placed) this.send(agent, job, indexes)
+    return job.queue.length === 0
+  }
+
+  /** The agent where the task would end soonest, among those with room. */
+  private choose (job: LeasedJob, index: number, except?: LeasedAgent): LeasedAgent | undefined {
+    const { zone, clock } = this.options
+    const { health } = this.serviceOf(job.service)
+    const quietSince = clock.now() - QUIET_MS
+    const { avoid } = job.tasks[index]!
+    let best: LeasedAgent | undefined
+    let bestMs = Infinity
+    for (const agent of this.agents.values()) {
+      const isUsable = agent.service === job.service && agent.link !== undefined && agent.isResumed && !agent.isLeaving &&
+        agent.heardAt >= quietSince && agent !== except && agent.hasRoomFor(job.need) && health.maySend(agent.agentId)
+      if (!isUsable) continue
+      const slowness = health.slownessOf(agent.agentId)
+      const runMs = job.expectedMs * (slowness < NOTABLE_SLOWNESS ? 1 : slowness)
+      const ms = runMs + (agent.zone === zone ? 0 : ZONE_PENALTY_MS) + (avoid.has(agent.agentId) ? job.expectedMs : 0)
+      if (ms >= bestMs) continue
+      best = agent
+      bestMs = ms
+    }
+    return best
+  }
+
+  private send (agent: LeasedAgent, job: LeasedJob, indexes: number[]): void {
+    const now = this.options.clock.now()
+    const { workspace, id, payload, need } = job
+    const { health } = this.serviceOf(job.service)
+    for (const index of indexes) {
+      const task = job.tasks[index]!
+      const key = taskKey(create(TaskKeySchema, { workspace, submission: id, task: index, attempt: task.attempt }))
+      task.state = LEASED_TASK_STATES.sent
+      job.unproved++
+      job.mayHaveRun++
+      agent.sent.set(key, { job, index, attempt: task.attempt, sentAt: now })
+      health.sent(agent.agentId)
+    }
+    const tasks = indexes.map((index) => create(LeasedTaskSchema, { index, attempt: job.tasks[index]!.attempt }))
+    const start = create(LeasedStartSchema, {
+      workspace, submission: id, payload, tasks, need: create(RoomSchema, need), waitMs: AGENT_WAIT_MS
+    })
+    this.options.events.sent(job, agent.agentId, indexes, agent.room)
+    agent.link!.add((frame) => { frame.leasedStarts.push(start) })
+  }
+}
+
+const workLeft = ({ queue, need, expectedMs }: LeasedJob): number => queue.length * need.cpuMilli * expectedMs
--- /dev/null
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -0,0 +1,350 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock } from '@hazellift/common'
+import { EndpointStateSchema, REASONS, ResumeSchema, RoomSchema, TASK_OUTCOMES, TaskKeySchema, TaskResultSchema } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame, LeasedStart, Reason, Revoke, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
+import type { SessionHost, AddToFrame } from '../session/types.js'
+import { Mailboxes } from '../tasks/mailboxes.js'
+import { ConfigCopy } from './configCopy.js'
+import { EndpointLife } from './endpointLife.js'
+import type { AttemptOver, HeldTask } from './endpointLife.js'
+import type { LeaseTimes } from './times.js'
+import { RUN_ENDS, fits } from './types.js'
+import type { LeasedEndpoint, Resources } from './types.js'
+
+type LogFields = Record<string, string | number | boolean | undefined>
+
+/** What the host needs. */
+export interface LeasedHostOptions {
+  clock: Clock
+  times: LeaseTimes
+  /** How long the endpoint may wait for an end before it answers a hold, in ms. */
+  holdWaitMs: number
+  log: (event: string, fields: LogFields) => void
+  /** Told of every attempt that is over. */
+  observe: (result: TaskResult) => void
+}
+
+/** The endpoint beside the agent. */
+export interface AnnouncedLife {
+  service: string
+  incarnation: string
+  address: string
+  capacity: Resources
+  endpoint: LeasedEndpoint
+}
+
+interface LeasedSession {
+  add: AddToFrame
+  wantsRoom: boolean
+  /** Room that the entry was told last. */
+  told: Resources
+  /** Starts that arrived on this session. */
+  startsSeen: number
+  toldStartsSeen: number
+}
+
+/** A start that waits here for room. */
+interface WaitingTask {
+  owner: string
+  key: TaskKey
+  payload: string
+  need: Resources
+  until: number
+}
+
+interface RunningTask {
+  owner: string
+  key: TaskKey
+  held: HeldTask
+}
+
+const NO_ROOM: Resources = { cpuMilli: 0, memoryMb: 0 }
+/** Results of entries that never came back are dropped after this time. */
+const MAILBOX_MEMORY_MS = 30_000
+
+/** Why an attempt was lost or ended without success, as results tell it. */
+const REASON_OF_END = {
+  [RUN_ENDS.failed]: REASONS.endpointError,
+  [RUN_ENDS.stopped]: REASONS.revoked,
+  [RUN_ENDS.lapsed]: REASONS.leaseExpired
+} as const
+
+/**
+ * An agent's side of jobs that are not kept. It runs tasks of an entry only
+ * under authority that the entry renews by echoing the agent's own clock; when
+ * it lapses, the entry's tasks are stopped and none is held on.
+ */
+export class LeasedHost implements SessionHost {
+  private readonly sessions = new Map<string, LeasedSession>()
+  private readonly authority = new Map<string, number>()
+  private readonly mailboxes: Mailboxes
+  private readonly config = new ConfigCopy()
+  private running: RunningTask[] = []
+  private waiting: WaitingTask[] = []
+  private life: EndpointLife | undefined
+  private announced: AnnouncedLife | undefined
+  private isStopping = false
+  private isDraining = false
+
+  constructor (private readonly options: LeasedHostOptions) {
+    this.mailboxes = new Mailboxes(options.clock.now)
+  }
+
+  /** Tasks that run or wait here. */
+  get busy (): number {
+    return this.running.length + this.waiting.length
+  }
+
+  /** Results that no entry has acknowledged yet. */
+  get unacked (): number {
+    return this.mailboxes.unackedCount
+  }
+
+  /** Incarnation of the endpoint's life that is served now. */
+  get endpointIncarnation (): string | undefined {
+    return this.announced?.incarnation
+  }
+
+  /** Version of the configuration document held here. */
+  get configVersion (): bigint {
+    return this.config.version
+  }
+
+  /** A new life of the endpoint; everything of an earlier one is over. */
+  setEndpoint (announced: AnnouncedLife): void {
+    this.removeEndpoint(REASONS.endpointGone)
+    this.announced = announced
+    this.isDraining = false
+    this.life = new EndpointLife({
+      clock: this.options.clock,
+      endpoint: announced.endpoint,
+      capacity: announced.capacity,
+      times: this.options.times,
+      waitMs: this.options.holdWaitMs,
+      beforeHold: () => this.lapse(),
+      onRoom: () => this.onRoom(),
+      onOpen: () => this.tellEndpoint(),
+      onGone: () => this.removeEndpoint(REASONS.endpointGone),
+      log: this.options.log
+    })
+  }
+
+  /** The endpoint ended, or must get no more work. */
+  removeEndpoint (reason: Reason): void {
+    if (this.announced === undefined) return
+    this.options.log('endpoint_removed', { endpoint: this.announced.incarnation, reason, tasks: this.busy })
+    const life = this.life
+    this.life = undefined
+    this.announced = undefined
+    this.refuseWaiting(() => true, REASONS.endpointGone)
+    life?.end(reason)
+    this.tellEndpoint()
+  }
+
+  /** The endpoint drains: it gets no start any more, what runs is finished. */
+  drain (): void {
+    if (this.isDraining) return
+    this.isDraining = true
+    this.leave()
+  }
+
+  /** The agent stops: the same for good. */
+  stop (): void {
+    this.isStopping = true
+    this.leave()
+  }
+
+  openSession (incarnation: string, add: AddToFrame): void {
+    this.sessions.set(incarnation, { add, wantsRoom: false, told: NO_ROOM, startsSeen: 0, toldStartsSeen: 0 })
+    const held = [...this.running, ...this.waiting].filter(({ owner }) => owner === incarnation).map(({ key }) => key)
+    const unacked = this.mailboxes.unackedOf(incarnation)
+    add((frame) => {
+      frame.resume = create(ResumeSchema, { held: [...held, ...unacked.map(({ key }) => key!)] })
+      frame.leaving = this.isLeaving
+      frame.results.push(...unacked)
+    })
+    this.tellEndpointTo(incarnation)
+  }
+
+  closeSession (incarnation: string, add: AddToFrame): void {
+    if (this.sessions.get(incarnation)?.add !== add) return
+    // What runs for the entry goes on until its authority lapses: the session may resume.
+    this.sessions.delete(incarnation)
+  }
+
+  onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
+    const session = this.sessions.get(incarnation)
+    if (session?.add !== add) return
+    this.renew(incarnation, frame.echoStampMs)
+    this.mailboxes.acknowledge(incarnation, frame.ackedSeq)
+    session.wantsRoom = frame.wantsRoom
+    for (const revoke of frame.revokes) this.onRevoke(incarnation, revoke)
+    for (const start of frame.leasedStarts) {
+      session.startsSeen += start.tasks.length
+      this.onStart(incarnation, start)
+    }
+    this.onConfig(session, frame)
+  }
+
+  stamp (incarnation: string, frame: AgentFrame): void {
+    frame.stampMs = this.options.clock.now()
+    frame.configVersion = this.config.version
+    const session = this.sessions.get(incarnation)
+    if (session === undefined) return
+    const room = this.room
+    const isTold = room.cpuMilli === session.told.cpuMilli && room.memoryMb === session.told.memoryMb &&
+      session.startsSeen === session.toldStartsSeen
+    if (isTold) return
+    session.told = room
+    session.toldStartsSeen = session.startsSeen
+    frame.room = create(RoomSchema, { ...room, startsSeen: session.startsSeen })
+  }
+
+  private get isLeaving (): boolean {
+    return this.isStopping || this.isDraining
+  }
+
+  private leave (): void {
+    this.refuseWaiting(() => true, REASONS.endpointGone)
+    for (const { add } of this.sessions.values()) add((frame) => { frame.leaving = true })
+  }
+
+  private get room (): Resources {
+    if (this.isLeaving || this.life === undefined) return NO_ROOM
+    const room = { ...this.life.room }
+    for (const { need } of this.waiting) {
+      room.cpuMilli = Math.max(0, room.cpuMilli - need.cpuMilli)
+      room.memoryMb = Math.max(0, room.memoryMb - need.memoryMb)
+    }
+    return room
+  }
+
+  private hasAuthority (incarnation: string): boolean {
+    return this.options.clock.now() <= (this.authority.get(incarnation) ?? -Infinity)
+  }
+
+  private renew (incarnation: string, echoStampMs: number): void {
+    if (echoStampMs === 0) return
+    const until = echoStampMs + this.options.times.authorityMs
+    const before = this.authority.get(incarnation)
+    // Its runs of before the lapse are being stopped and must not be revived by a late echo.
+    if (before !== undefined && !this.hasAuthority(incarnation)) this.lapse()
+    if (until <= (before ?? 0)) return
+    this.authority.set(incarnation, until)
+    if (before === undefined) this.scheduleLapse(incarnation)
+  }
+
+  /** Looks again when the authority known now ends. */
+  private scheduleLapse (incarnation: string): void {
+    const until = this.authority.get(incarnation)
+    if (until === undefined) return
+    this.options.clock.after(Math.max(1, until + 1 - this.options.clock.now()), () => {
+      if (this.hasAuthority(incarnation)) return this.scheduleLapse(incarnation)
+      this.authority.delete(incarnation)
+      this.lapse()
+    })
+  }
+
+  /** Stops what runs without authority. */
+  private lapse (): void {
+    for (const { owner, held, key } of this.running) {
+      if (held.stopReason !== undefined || this.hasAuthority(owner)) continue
+      this.options.log('authority_lapsed', { job: key.submission, task: key.task, entry: owner })
+      this.life?.stop(held, REASONS.leaseExpired)
+    }
+    this.refuseWaiting(({ owner }) => !this.hasAuthority(owner), REASONS.staleStart)
+    this.mailboxes.sweep((incarnation) => this.sessions.has(incarnation), this.options.clock.now() - MAILBOX_MEMORY_MS)
+  }
+
+  private onStart (owner: string, { workspace, submission, payload, tasks, need, waitMs }: LeasedStart): void {
+    const until = this.options.clock.now() + waitMs
+    for (const { index, attempt } of tasks) {
+      const key = create(TaskKeySchema, { workspace, submission, task: index, attempt })
+      const refusal = this.refusalOf(owner, key)
+      if (refusal === undefined) this.waiting.push({ owner, key, payload, need: need ?? NO_ROOM, until })
+      else this.tell(owner, key, TASK_OUTCOMES.notStarted, refusal)
+    }
+    this.startWaiting()
+    if (this.waiting.length > 0) this.options.clock.after(waitMs, () => this.expireWaiting())
+  }
+
+  private refusalOf (owner: string, { submission, task }: TaskKey): Reason | undefined {
+    if (!this.hasAuthority(owner)) return REASONS.staleStart
+    if (this.isLeaving || this.life?.takesStarts !== true) return REASONS.endpointGone
+    const isHere = this.life.find(submission, task) !== undefined || this.waiting.some(({ key }) => key.submission === submission && key.task === task)
+    return isHere ? REASONS.duplicateStart : undefined
+  }
+
+  private startWaiting (): void {
+    while (this.waiting.length > 0 && this.life !== undefined && fits(this.waiting[0]!.need, this.life.room)) this.run(this.life, this.waiting.shift()!)
+  }
+
+  private run (life: EndpointLife, { owner, key, payload, need }: WaitingTask): void {
+    const held = life.start(key.submission, key.task, payload, need, (over) => this.onOver(running, over))
+    const running: RunningTask = { owner, key, held }
+    this.running.push(running)
+  }
+
+  private onOver (running: RunningTask, over: AttemptOver): void {
+    this.running = this.running.filter((other) => other !== running)
+    const { owner, key, held } = running
+    const runMs = Math.round(this.options.clock.now() - held.startedAt)
+    if (over.type === 'not_started') return this.tell(owner, key, TASK_OUTCOMES.notStarted, over.reason)
+    if (over.type === 'lost') return this.tell(owner, key, TASK_OUTCOMES.failed, over.reason, runMs)
+    if (over.how === RUN_ENDS.done) return this.tell(owner, key, TASK_OUTCOMES.done, '', runMs)
+    this.tell(owner, key, TASK_OUTCOMES.failed, REASON_OF_END[over.how], runMs)
+  }
+
+  private expireWaiting (): void {
+    const now = this.options.clock.now()
+    this.refuseWaiting(({ until }) => until <= now, REASONS.noSlot)
+  }
+
+  private refuseWaiting (isRefused: (task: WaitingTask) => boolean, reason: Reason): void {
+    const refused = this.waiting.filter(isRefused)
+    if (refused.length === 0) return
+    this.waiting = this.waiting.filter((task) => !isRefused(task))
+    for (const { owner, key } of refused) this.tell(owner, key, TASK_OUTCOMES.notStarted, reason)
+  }
+
+  private onRevoke (incarnation: string, { submission, tasks }: Revoke): void {
+    const isMeant = ({ owner, key }: { owner: string, key: TaskKey }): boolean =>
+      owner === incarnation && key.submission === submission && (tasks.length === 0 || tasks.includes(key.task))
+    this.refuseWaiting(isMeant, REASONS.revoked)
+    for (const task of this.running.filter(isMeant)) this.life?.stop(task.held, REASONS.revoked)
+  }
+
+  private tell (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs = 0): void {
+    const result = create(TaskResultSchema, { key, outcome, reason, runMs })
+    this.options.observe(result)
+    this.mailboxes.put(owner, result)
+    this.sessions.get(owner)?.add((frame) => { frame.results.push(result) })
+  }
+
+  private onRoom (): void {
+    this.startWaiting()
+    for (const { add, wantsRoom } of this.sessions.values()) if (wantsRoom) add(() => {})
+  }
+
+  private tellEndpoint (): void {
+    for (const incarnation of this.sessions.keys()) this.tellEndpointTo(incarnation)
+  }
+
+  /** Entries hear of a life once it takes starts: then nothing that an earlier agent left runs any more. */
+  private tellEndpointTo (incarnation: string): void {
+    const state = this.life?.takesStarts === true && this.announced !== undefined
+      ? create(EndpointStateSchema, { ...this.announced, capacity: create(RoomSchema, this.announced.capacity) })
+      : create(EndpointStateSchema)
+    this.sessions.get(incarnation)?.add((frame) => {
+      frame.endpoint = state
+      frame.leaving = this.isLeaving
+    })
+  }
+
+  private onConfig ({ add }: LeasedSession, { configVersion, config, wantsConfig }: EntryFrame): void {
+    if (config.length > 0 && this.config.offer(configVersion, config)) {
+      for (const session of this.sessions.values()) session.add(() => {})
+    }
+    if (wantsConfig) add((frame) => { frame.config = this.config.document })
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/leased/leasedJob.ts
@@ -0,0 +1,131 @@
+import { submissionKey } from '../tasks/keys.js'
+import type { Reason } from '@hazellift/protocol'
+import type { Resources } from './types.js'
+
+/** A job that is not kept, as its caller submitted it. */
+export interface LeasedJobSpec {
+  workspace: string
+  id: string
+  /** The caller's name for its request; logs only. */
+  requestId: string
+  service: string
+  payload: string
+  /** Number of tasks. */
+  count: number
+  /** What each task uses. */
+  need: Resources
+  /** The caller's rough guess of one task's run time, in ms; 0 for none. */
+  estimateMs: number
+  /** What a task may be of; tasks of one kind are compared with each other. */
+  kind: string
+  /** 0 goes first. */
+  priority: number
+  /** Runs of one task that may fail by its own fault or the endpoint's. */
+  attempts: number
+  /** What the answer should take. */
+  objective: Objective
+  /** How long the caller waits, in ms. */
+  deadlineMs: number
+}
+
+/** Response time asked for: `stretch` times the run time of a task, and `slackMs` more. */
+export interface Objective {
+  stretch: number
+  slackMs: number
+  /** An answer that takes more than this many times as long is of no use. */
+  lateFactor: number
+}
+
+/** How a job that is not kept ended. */
+export type LeasedJobEnd =
+  | { type: 'complete' }
+  | { type: 'failed', reason: Reason, message: string }
+  /** Nothing of it was started and nothing will be. */
+  | { type: 'refused', reason: Reason, message: string, retryAfterMs: number }
+
+/** Where a task stands at the entry. */
+export const LEASED_TASK_STATES = {
+  queued: 'queued',
+  /** Ordered at an agent; not proved to be over. */
+  sent: 'sent',
+  done: 'done'
+} as const
+
+/** One task at its entry. */
+export interface LeasedTaskRecord {
+  state: typeof LEASED_TASK_STATES[keyof typeof LEASED_TASK_STATES]
+  attempt: number
+  /** Runs that failed. */
+  failures: number
+  /** Agents where a run failed or was too slow. */
+  avoid: Set<string>
+  isMoving: boolean
+}
+
+/** A job at its entry. */
+export interface LeasedJob extends LeasedJobSpec {
+  key: string
+  /** Times on the entry's monotonic clock, in ms. */
+  arrivedAt: number
+  /** Expected run time of one task. */
+  expectedMs: number
+  /** The answer is in time until then. */
+  dueAt: number
+  /** From then on an answer is of no use. */
+  uselessAt: number
+  /** From then on nobody waits. */
+  deadlineAt: number
+  tasks: LeasedTaskRecord[]
+  /** Tasks that wait to be sent, next one last. */
+  queue: number[]
+  doneCount: number
+  /** Orders not proved to be over. */
+  unproved: number
+  /** Orders sent that are not proved void: these tasks ran, run or may run. */
+  mayHaveRun: number
+  /** Longest run time of its tasks that ended, in ms. */
+  longestRunMs: number
+  end: LeasedJobEnd | undefined
+  onEnd: (end: LeasedJobEnd) => void
+  /** Called once no order of it can run any more. */
+  onOver: (() => void) | undefined
+}
+
+const newTask = (): LeasedTaskRecord => ({
+  state: LEASED_TASK_STATES.queued, attempt: 0, failures: 0, avoid: new Set(), isMoving: false
+})
+
+const timesOf = ({ objective, deadlineMs }: LeasedJobSpec, arrivedAt: number, expectedMs: number) => {
+  const objectiveMs = objective.stretch * expectedMs + objective.slackMs
+  const deadlineAt = arrivedAt + deadlineMs
+  return {
+    dueAt: Math.min(deadlineAt, arrivedAt + objectiveMs),
+    uselessAt: Math.min(deadlineAt, arrivedAt + objective.lateFactor * objectiveMs),
+    deadlineAt
+  }
+}
+
+/**
+ * A job with all its tasks queued.
+ *
+ * @param spec - what the caller submitted
+ * @param arrivedAt - on this process's monotonic clock
+ * @param expectedMs - run time of one task, as learned
+ * @param onEnd - told of the end, once
+ */
+export const createLeasedJob = (spec: LeasedJobSpec, arrivedAt: number, expectedMs: number, onEnd: (end: LeasedJobEnd) => void): LeasedJob => ({
+  ...spec,
+  ...timesOf(spec, arrivedAt, expectedMs),
+  key: submissionKey(spec.workspace, spec.id),
+  arrivedAt,
+  expectedMs,
+  tasks: Array.from({ length: spec.count }, newTask),
+  queue: Array.from({ length: spec.count }, (_, index) => spec.count - 1 - index),
+  doneCount: 0,
+  unproved: 0,
+  mayHaveRun: 0,
+  longestRunMs: 0,
+  end: undefined,
+  onEnd,
+  onOver: undefined
+})
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@hazellift/common'
 import { CollectedSchema, EndpointStateSchema, REASONS, ResumeSchema, TASK_OUTCOMES, TaskResultSchema } from '@hazellift/protocol'
 import type { AgentFrame, Collect, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
+import type { AddToFrame, SessionHost } from '../session/types.js'
 import { VERDICTS, judgeResult } from '../health/judgeResult.js'
 import { SlotGranter } from '../slots/slotGranter.js'
 import { EndsTally } from './endsElsewhere.js'
@@ -19,9 +20,6 @@
 /** Calls the endpoint; must settle soon after `signal` aborts. */
 export type RunAttempt = (start: Start, endpoint: EndpointState, signal: AbortSignal) => Promise<AttemptEnd>
 
-/** Adds to the next frame to one entry. */
-export type AddToFrame = (add: (frame: AgentFrame) => void) => void
-
 /** Bounds of an agent's work. */
 export interface TaskHostOptions {
   clock: Clock
@@ -73,7 +71,7 @@
  * An agent's side of all its sessions: accepts starts against credits, runs
  * them, and keeps results until they are acknowledged.
  */
-export class TaskHost {
+export class TaskHost implements SessionHost {
   private readonly ledger: TaskLedger
   private readonly granter: SlotGranter
   private readonly sessions = new Map<string, HostSession>()
--- a/packages/entry/src/createEntryParts.ts
+++ b/packages/entry/src/createEntryParts.ts
@@ -8,16 +8,17 @@
 import type { StoreObserver } from '@hazellift/store'
 import { REASONS } from '@hazellift/protocol'
 import type { EntrySettings } from '@hazellift/protocol'
+import { createSessions } from '@hazellift/sessions'
+import type { Sessions } from '@hazellift/sessions'
 import { ulid } from 'ulid'
 import type { ApiContext } from './http/context.js'
 import { ClusterView } from './operations/clusterView.js'
+import { countAgentFrame, countEntryFrame } from './operations/countMessages.js'
 import { createEntryMetrics } from './operations/entryMetrics.js'
 import type { EntryMetrics } from './operations/entryMetrics.js'
 import { Readiness } from './operations/readiness.js'
 import { ConfigSpread } from './peers/configSpread.js'
 import { PeerClients } from './peers/peerClients.js'
-import { createSessions } from './sessions/createSessions.js'
-import type { Sessions } from './sessions/createSessions.js'
 import { createSweeper } from './sweeper.js'
 
 /** The parts of an entry, wired together. */
@@ -214,7 +215,10 @@
   const { directory, dispatcher, watch, owned, claims, metrics, configStore } = core
   const sessions = createSessions({
     dispatcher,
-    metrics,
+    observe: {
+      read: (frame) => countAgentFrame(metrics, frame),
+      sent: (frame) => countEntryFrame(metrics, frame)
+    },
     entryId: identity.entryId,
     incarnation: identity.incarnation,
     keepAliveMs: settings.keepAliveMs,
--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -47,6 +47,18 @@
   lostStart: 'lost_start',
   /** The task is done, but the agent kept its answer no longer. */
   answerDropped: 'answer_dropped',
+  /** The endpoint did not answer the order to start; it is proved void since. */
+  orderUnanswered: 'order_unanswered',
+  /** The endpoint turned the start away. */
+  endpointBusy: 'endpoint_busy',
+  /** A task ran far longer than its kind and was moved. */
+  straggler: 'straggler',
+  // Jobs that are not kept
+  notKept: 'not_kept',
+  unsupported: 'unsupported',
+  noConfig: 'no_config',
+  overload: 'overload',
+  callerGone: 'caller_gone',
   internal: 'internal'
 } as const
 export type Reason = typeof REASONS[keyof typeof REASONS]
--- a/packages/entry/src/sessions/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -3,16 +3,15 @@
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect'
 import { createLogger, errorMessage } from '@hazellift/common'
 import { Outbox } from '@hazellift/coordination'
-import type { AgentHandle, AgentLink, Dispatcher } from '@hazellift/coordination'
+import type { AgentLink, SessionDispatcher } from '@hazellift/coordination'
 import { EntryFrameSchema, EntryListSchema, WelcomeSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame, SessionService } from '@hazellift/protocol'
-import { countAgentFrame, countEntryFrame } from '../operations/countMessages.js'
-import type { EntryMetrics } from '../operations/entryMetrics.js'
 
 /** What sessions need. */
-export interface SessionOptions {
-  dispatcher: Dispatcher
-  metrics: EntryMetrics
+export interface SessionOptions<Agent> {
+  dispatcher: SessionDispatcher<Agent>
+  /** Told of every frame read, and of every one sent. */
+  observe: { read: (frame: AgentFrame) => void, sent: (frame: EntryFrame) => void }
   entryId: string
   incarnation: string
   keepAliveMs: number
@@ -31,10 +30,10 @@
   closeAll: () => void
 }
 
-interface Session {
+interface Session<Agent> {
   link: AgentLink
   /** Set once the agent said hello. */
-  agent: AgentHandle | undefined
+  agent: Agent | undefined
   lastSeenAt: number
   /** The last result that arrived; goes out with the next frame. */
   ackedSeq: bigint
@@ -48,19 +47,19 @@
  *
  * @param options - what sessions need
  */
-export const createSessions = (options: SessionOptions): Sessions => {
-  const { dispatcher, metrics, entryId, incarnation } = options
+export const createSessions = <Agent extends { agentId: string }>(options: SessionOptions<Agent>): Sessions => {
+  const { dispatcher, observe, entryId, incarnation } = options
   const outboxes = new Set<Outbox<EntryFrame>>()
 
   const listEntries = (frame: EntryFrame): void => {
     frame.entries = create(EntryListSchema, { addresses: options.entryAddresses() })
   }
 
-  const read = async (frames: AsyncIterable<AgentFrame>, session: Session): Promise<void> => {
+  const read = async (frames: AsyncIterable<AgentFrame>, session: Session<Agent>): Promise<void> => {
     try {
       for await (const frame of frames) {
         session.lastSeenAt = performance.now()
-        countAgentFrame(metrics, frame)
+        observe.read(frame)
         if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
         if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
       }
@@ -83,7 +82,7 @@
       acknowledge: (seq) => { session.ackedSeq = seq },
       close: () => outbox.close()
     }
-    const session: Session = { link, agent: undefined, lastSeenAt: performance.now(), ackedSeq: 0n }
+    const session: Session<Agent> = { link, agent: undefined, lastSeenAt: performance.now(), ackedSeq: 0n }
     const timer = setInterval(() => {
       if (performance.now() - session.lastSeenAt > options.timeoutMs) return link.close()
       link.add(() => {})
@@ -93,7 +92,8 @@
     try {
       for await (const frame of outbox) {
         frame.ackedSeq = session.ackedSeq
-        countEntryFrame(metrics, frame)
+        if (session.agent !== undefined) dispatcher.stamp?.(session.agent, frame)
+        observe.sent(frame)
         yield frame
       }
     } finally {
--- a/packages/agent/src/sessions/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -5,13 +5,13 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { createLogger, errorMessage } from '@hazellift/common'
 import { Outbox } from '@hazellift/coordination'
-import type { AddToFrame, TaskHost } from '@hazellift/coordination'
+import type { AddToFrame, SessionHost } from '@hazellift/coordination'
 import { AgentFrameSchema, CLUSTER_TOKEN_HEADER, HelloSchema, SessionService } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
 
 /** What a session needs. */
 export interface DialOptions {
-  host: TaskHost
+  host: SessionHost
   agentId: string
   incarnation: string
   zone: string
@@ -62,7 +62,7 @@
 }
 
 /** Fills in each frame's stamp as it leaves, so that the stamp is fresh. */
-async function * stamped (host: TaskHost, outbox: Outbox<AgentFrame>, peer: Peer): AsyncGenerator<AgentFrame> {
+async function * stamped (host: SessionHost, outbox: Outbox<AgentFrame>, peer: Peer): AsyncGenerator<AgentFrame> {
   for await (const frame of outbox) {
     host.stamp(peer.incarnation, frame)
     yield frame
--- a/packages/agent/src/sessions/entryDialer.ts
+++ b/packages/sessions/src/entryDialer.ts
@@ -13,6 +13,8 @@
 const BACKOFF = { baseMs: 50, maxMs: 2000 }
 /** A session that lasted this long counts as a success, so that the next dial is quick again. */
 const STABLE_MS = 2000
+/** A dial that has not failed for so long has a session. */
+const LASTING_MS = 700
 /** Dials that fail one after the other before an entry that no other entry lists is given up. */
 const GIVE_UP_FAILURES = 8
 
@@ -25,20 +27,34 @@
 export class EntryDialer {
   private readonly dialing = new Set<string>()
   private listed: Set<string>
+  private readonly seeds: Set<string>
+  private readonly lasting = new Set<string>()
   private readonly controller = new AbortController()
 
   constructor (private readonly options: EntryDialerOptions) {
+    this.seeds = new Set(options.seeds)
     this.listed = new Set(options.seeds)
   }
 
   /** Dials the seeds. */
   start (): void {
-    for (const address of this.options.seeds) this.add(address)
+    for (const address of this.seeds) this.add(address)
+  }
+
+  /** Sessions that have lasted for a while. */
+  get openSessions (): number {
+    return this.lasting.size
+  }
+
+  /** Further addresses to begin with. */
+  addSeeds (addresses: string[]): void {
+    for (const address of addresses) this.seeds.add(address)
+    this.onEntries([...this.listed, ...addresses])
   }
 
   /** An entry told which ones live. */
   onEntries (addresses: string[]): void {
-    this.listed = new Set([...this.options.seeds, ...addresses])
+    this.listed = new Set([...this.seeds, ...addresses])
     for (const address of addresses) this.add(address)
   }
 
@@ -59,7 +75,10 @@
     let failures = 0
     while (!this.controller.signal.aborted && !this.isGivenUp(address, failures)) {
       const startedAt = clock.now()
+      const cancelLasting = clock.after(LASTING_MS, () => this.lasting.add(address))
       await dial(address, this.controller.signal)
+      cancelLasting()
+      this.lasting.delete(address)
       failures = clock.now() - startedAt > STABLE_MS ? 1 : failures + 1
       await clock.sleep(backoff(failures))
     }
--- a/packages/store/src/createHttpCaller.ts
+++ b/packages/store/src/createHttpCaller.ts
@@ -20,6 +20,10 @@
   method: 'GET' | 'POST' | 'PUT' | 'DELETE'
   path: string
   body?: string | Uint8Array
+  /** Longest wait for this call, in ms; unset for the caller's. */
+  timeoutMs?: number
+  /** Statuses from 400 on that are answers of this call, not faults. */
+  answers?: readonly number[]
 }
 
 /** Status and body of a response that the platform gave on purpose. */
@@ -38,8 +42,8 @@
   return { type: notSent ? 'refused' : 'unknown', message: errorMessage(err) }
 }
 
-const classifyReply = (reply: HttpReply): Result<HttpReply, StoreFault> => {
-  if (reply.status < 400 || reply.status === 404) return ok(reply)
+const classifyReply = (reply: HttpReply, answers: readonly number[]): Result<HttpReply, StoreFault> => {
+  if (reply.status < 400 || reply.status === 404 || answers.includes(reply.status)) return ok(reply)
   const message = `status ${reply.status}: ${Buffer.from(reply.body).toString()}`
   if (TURNED_AWAY_STATUSES.has(reply.status)) return fail({ type: 'refused', message })
   return fail({ type: reply.status < 500 ? 'invalid' : 'unknown', message })
@@ -58,16 +62,16 @@
     connections: options.connections ?? DEFAULT_CONNECTIONS,
     connect: { timeout: options.timeoutMs }
   })
-  const send = async ({ method, path, body }: HttpCall): Promise<Result<HttpReply, StoreFault>> => {
+  const send = async ({ method, path, body, timeoutMs, answers }: HttpCall): Promise<Result<HttpReply, StoreFault>> => {
     try {
       const res = await pool.request({
         method,
         path,
         body: body ?? null,
         headers: typeof body === 'string' ? { 'content-type': 'application/json' } : {},
-        signal: AbortSignal.timeout(options.timeoutMs)
+        signal: AbortSignal.timeout(timeoutMs ?? options.timeoutMs)
       })
-      return classifyReply({ status: res.statusCode, body: await res.body.bytes() })
+      return classifyReply({ status: res.statusCode, body: await res.body.bytes() }, answers ?? [])
     } catch (err) {
       return fail(classifyError(err))
     }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,5 @@
 /** Typed clients of the platform's table service and object store. */
+export * from './createHttpCaller.js'
 export * from './createHttpObjects.js'
 export * from './createHttpTable.js'
 export * from './errors.js'
--- /dev/null
+++ b/scripts/bundlePlatform.js
@@ -0,0 +1,19 @@
+// Bundles the two roles of the deploy file into target/, one file each: a
+// process that loads one file starts several times faster than one that loads
+// hundreds, and a machine pays for its start.
+import { build } from 'esbuild'
+
+await build({
+  entryPoints: { entry: 'platform/src/entry/main.ts', agent: 'platform/src/agent/main.ts' },
+  outdir: 'target',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  outExtension: { '.js': '.mjs' },
+  conditions: ['source'],
+  sourcemap: 'linked',
+  legalComments: 'none',
+  // Some libraries are CommonJS and ask for Node.js's own modules by require.
+  banner: { js: 'import { createRequire } from \'node:module\'; const require = createRequire(import.meta.url);' }
+})
