--- a/eslint.config.js
+++ b/eslint.config.js
@@ -27,7 +27,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'out/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'out/**', 'target/**'] }),
   ...layerRules,
   pureRules,
   { rules: { 'no-void': ['error', { allowAsStatement: true }], 'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }] } },
