--- /dev/null
+++ b/packages/coordination/tests/leased/fakeEndpoint.ts
@@ -0,0 +1,139 @@
+import { REASONS } from '@hazellift/protocol'
+import type { Clock } from '@hazellift/common'
+import { RUN_ENDS } from '../../src/index.js'
+import type { HoldOutcome, LeasedEndpoint, ListedEnd, Resources, RunEnd, RunRef, StartOrder, StartOutcome } from '../../src/index.js'
+
+interface FakeRun extends RunRef {
+  cpuMilli: number
+  startedAt: number
+  endsAt: number
+}
+
+/** What an endpoint does with a call. */
+export type CallFault =
+  | 'none'
+  /** Nothing is done, and nothing answered. */
+  | 'lost'
+  /** It is done, and not answered. */
+  | 'answer_lost'
+  /** Not answered, and done 3 s later. */
+  | 'late'
+
+/** A run as it happened, for checks. */
+export interface PastRun extends RunRef {
+  from: number
+  to: number
+}
+
+const LATE_MS = 3000
+const CALL_TIMEOUT_MS = 60
+const STEP_MS = 5
+
+/** An endpoint with leases, run numbers and a list of ends, on a fake clock. */
+export class FakeEndpoint implements LeasedEndpoint {
+  readonly past: PastRun[] = []
+  /** Most of the capacity ever in use. */
+  mostCpu = 0
+  fault: (call: 'start' | 'stop' | 'hold') => CallFault = () => 'none'
+  /** How long the next runs take. */
+  runMs = 100
+  failing = false
+  private readonly running = new Map<string, FakeRun>()
+  private readonly endedRuns = new Map<string, number>()
+  private ends: ListedEnd[] = []
+  private seq = 0
+  private until = 0
+
+  constructor (private readonly clock: Clock, readonly cpuOfTask: (submission: string) => number) {}
+
+  start = (order: StartOrder): Promise<StartOutcome> => this.call('start', () => this.onStart(order), { type: 'unknown' })
+  stop = (run: RunRef): Promise<boolean> => this.call('stop', () => this.onStop(run), false)
+
+  hold: LeasedEndpoint['hold'] = async ({ holdMs, lastSeen, waitMs }) => {
+    const until = holdMs === undefined ? 0 : this.clock.now() + holdMs
+    const isSeen = await this.call('hold', () => {
+      this.until = Math.max(this.until, until)
+      this.ends = this.ends.filter(({ seq }) => seq > lastSeen)
+      return true
+    }, false)
+    if (!isSeen) return { type: 'unknown' }
+    for (let waited = 0; waited < waitMs && this.ends.length === 0; waited += STEP_MS) await this.clock.sleep(STEP_MS)
+    return this.show()
+  }
+
+  /** Ends what is due; to be called as time passes. */
+  tick (): void {
+    for (const run of [...this.running.values()]) {
+      if (this.clock.now() > this.until) this.finish(run, RUN_ENDS.lapsed)
+      else if (this.clock.now() >= run.endsAt) this.finish(run, this.failing ? RUN_ENDS.failed : RUN_ENDS.done)
+    }
+  }
+
+  /** Everything that is running, as past runs that go on. */
+  get open (): PastRun[] {
+    return [...this.running.values()].map(({ submission, index, run, startedAt }) => ({ submission, index, run, from: startedAt, to: Infinity }))
+  }
+
+  private show (): HoldOutcome {
+    this.tick()
+    return { type: 'held', running: [...this.running.values()].map(({ submission, index, run }) => ({ submission, index, run })), ended: [...this.ends] }
+  }
+
+  private async call<T> (name: 'start' | 'stop' | 'hold', act: () => T, unanswered: T): Promise<T> {
+    const fault = this.fault(name)
+    if (fault === 'none') return act()
+    if (fault === 'answer_lost') act()
+    if (fault === 'late') this.clock.after(LATE_MS, act)
+    await this.clock.sleep(CALL_TIMEOUT_MS)
+    return unanswered
+  }
+
+  private onStart ({ submission, index, run, holdMs }: StartOrder): StartOutcome {
+    this.tick()
+    const name = `${submission}.${index}`
+    if (run <= (this.endedRuns.get(name) ?? 0)) return { type: 'number_used' }
+    const sentAt = this.clock.now()
+    if (sentAt + holdMs < this.clock.now()) return { type: 'refused', reason: REASONS.endpointBusy }
+    this.until = Math.max(this.until, sentAt + holdMs)
+    if (this.running.has(name)) return { type: 'started' }
+    this.running.set(name, { submission, index, run, cpuMilli: this.cpuOfTask(submission), startedAt: sentAt, endsAt: sentAt + this.runMs })
+    let cpu = 0
+    for (const { cpuMilli } of this.running.values()) cpu += cpuMilli
+    this.mostCpu = Math.max(this.mostCpu, cpu)
+    return { type: 'started' }
+  }
+
+  private onStop ({ submission, index, run }: RunRef): boolean {
+    this.tick()
+    const name = `${submission}.${index}`
+    this.endedRuns.set(name, Math.max(run, this.endedRuns.get(name) ?? 0))
+    const running = this.running.get(name)
+    if (running !== undefined && running.run <= run) this.finish(running, RUN_ENDS.stopped)
+    return true
+  }
+
+  private finish (run: FakeRun, how: RunEnd): void {
+    const { submission, index, run: number, startedAt } = run
+    const name = `${submission}.${index}`
+    this.running.delete(name)
+    this.endedRuns.set(name, Math.max(number, this.endedRuns.get(name) ?? 0))
+    this.ends.push({ seq: ++this.seq, submission, index, run: number, how })
+    this.past.push({ submission, index, run: number, from: startedAt, to: this.clock.now() })
+  }
+}
+
+/** Runs of one task that overlap, over all endpoints. */
+export const overlaps = (endpoints: FakeEndpoint[]): string[] => {
+  const byTask = new Map<string, PastRun[]>()
+  for (const run of endpoints.flatMap(({ past, open }) => [...past, ...open])) {
+    const name = `${run.submission}.${run.index}`
+    byTask.set(name, [...byTask.get(name) ?? [], run])
+  }
+  return [...byTask].flatMap(([name, runs]) => {
+    const sorted = [...runs].sort((a, b) => a.from - b.from)
+    return sorted.slice(1).flatMap((run, at) => run.from < sorted[at]!.to ? [`${name}: ${sorted[at]!.from}-${sorted[at]!.to} and ${run.from}`] : [])
+  })
+}
+
+/** What an endpoint of these tests offers. */
+export const CAPACITY: Resources = { cpuMilli: 4000, memoryMb: 4000 }
--- /dev/null
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -0,0 +1,225 @@
+import { create } from '@bufbuild/protobuf'
+import { AgentFrameSchema, EntryFrameSchema, HelloSchema } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
+import { LeasedDispatcher, LeasedHost, LeasedJobs } from '../../src/index.js'
+import type { AgentLink, LeasedAgent, LeasedDispatchEvents, LeasedJobEnd, LeasedJobSpec, LeaseTimes } from '../../src/index.js'
+import { createFakeClock } from '../fakeClock.js'
+import type { FakeClock } from '../fakeClock.js'
+import { CAPACITY, FakeEndpoint } from './fakeEndpoint.js'
+
+export const TIMES: LeaseTimes = { authorityMs: 600, holdMs: 500, stopMs: 50, clockFactor: 1.02 }
+const KEEP_ALIVE_MS = 150
+const SESSION_TIMEOUT_MS = 500
+const REDIAL_MS = 50
+const STEP_MS = 5
+const TASK_CPU = 1600
+
+/** Settles what is ready without moving the clock. */
+const settle = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
+
+interface Pair {
+  agent: number
+  entry: number
+  /** The link is silent: frames and ends of connections are held up. */
+  isCut: boolean
+  close: (() => void) | undefined
+  lastSeenAt: number
+}
+
+interface Entry {
+  incarnation: string
+  dispatcher: LeasedDispatcher
+  jobs: LeasedJobs
+  isUp: boolean
+}
+
+interface Agent {
+  incarnation: string
+  host: LeasedHost
+  endpoint: FakeEndpoint
+  life: number
+  isUp: boolean
+}
+
+const EVENTS: LeasedDispatchEvents = {
+  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}
+}
+
+/** Entries and agents in one process on a fake clock, with links that can be cut. */
+export class LeasedNetwork {
+  readonly clock: FakeClock = createFakeClock()
+  readonly entries: Entry[] = []
+  readonly agents: Agent[] = []
+  readonly ends = new Map<string, LeasedJobEnd>()
+  readonly endpoints: FakeEndpoint[] = []
+  /** Documents that entries heard of from agents. */
+  readonly documents: Array<{ entry: number, text: string }> = []
+  private readonly pairs: Pair[] = []
+  private counter = 0
+
+  constructor (entryCount: number, agentCount: number, private readonly times = TIMES) {
+    for (let entry = 0; entry < entryCount; entry++) this.entries.push(this.newEntry(entry))
+    for (let agent = 0; agent < agentCount; agent++) {
+      this.agents.push(this.newAgent(new FakeEndpoint(this.clock, () => TASK_CPU)))
+      for (let entry = 0; entry < entryCount; entry++) this.pairs.push({ agent, entry, isCut: false, close: undefined, lastSeenAt: 0 })
+    }
+  }
+
+  /** Moves time on, with everything that happens meanwhile. */
+  async advance (ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      for (const endpoint of this.endpoints) endpoint.tick()
+      for (const pair of this.pairs) this.connect(pair)
+      for (const { dispatcher, isUp } of this.entries) if (isUp) dispatcher.sweep()
+      this.clock.advance(STEP_MS)
+      await settle()
+    }
+  }
+
+  /** Submits a job of equal tasks at an entry. */
+  submit (entry: number, id: string, count: number, more: Partial<LeasedJobSpec> = {}): { leave: () => void } {
+    const { jobs } = this.entries[entry]!
+    const attachment = jobs.submit({
+      workspace: 'w', id, requestId: '', service: 's', payload: 'p', count, need: { cpuMilli: TASK_CPU, memoryMb: 64 }, estimateMs: 100, kind: 'k',
+      priority: 0, attempts: 2, objective: { stretch: 20, slackMs: 2000, lateFactor: 3 }, deadlineMs: 10_000, ...more
+    })
+    void attachment.end.then((end) => this.ends.set(id, end))
+    return attachment
+  }
+
+  /** Cuts or heals the link of an agent and an entry. */
+  cut (agent: number, entry: number, isCut: boolean): void {
+    for (const pair of this.pairs) if (pair.agent === agent && pair.entry === entry) pair.isCut = isCut
+  }
+
+  /** The agent's process dies; another one begins at once if `restarts`. */
+  killAgent (index: number, restarts = true): void {
+    const agent = this.agents[index]!
+    for (const pair of this.pairs) if (pair.agent === index) this.drop(pair)
+    // What a dead process would still do must not happen: its endpoint calls go nowhere.
+    agent.endpoint = this.detach(agent)
+    agent.isUp = false
+    if (restarts) this.agents[index] = this.newAgent(agent.endpoint)
+  }
+
+  /** The entry's process dies; another one begins. */
+  killEntry (index: number): void {
+    for (const pair of this.pairs) if (pair.entry === index) this.drop(pair)
+    this.entries[index]!.isUp = false
+    this.entries[index] = this.newEntry(index)
+  }
+
+  private detach (agent: Agent): FakeEndpoint {
+    const { host, endpoint } = agent
+    host.removeEndpoint('endpoint_gone')
+    return endpoint
+  }
+
+  private newEntry (index: number): Entry {
+    const dispatcher = new LeasedDispatcher({
+      clock: this.clock,
+      zone: 'z',
+      times: this.times,
+      events: { ...EVENTS, configSeen: (_version, document) => this.documents.push({ entry: index, text: Buffer.from(document).toString() }) },
+      setAsideShare: 0.4,
+      setAsideBackoff: () => 1000,
+      entryCount: () => 1,
+      defer: (fn) => { setImmediate(fn) }
+    })
+    return { incarnation: `e${index}-${this.counter++}`, dispatcher, jobs: new LeasedJobs(this.clock, dispatcher), isUp: true }
+  }
+
+  private newAgent (endpoint: FakeEndpoint): Agent {
+    if (!this.endpoints.includes(endpoint)) this.endpoints.push(endpoint)
+    const host = new LeasedHost({ clock: this.clock, times: this.times, holdWaitMs: 100, log: () => {}, observe: () => {} })
+    const life = this.counter++
+    const agent = { incarnation: `a${life}`, host, endpoint, life, isUp: true }
+    host.setEndpoint({
+      service: 's',
+      incarnation: `i${this.endpoints.indexOf(endpoint)}`,
+      address: '',
+      capacity: CAPACITY,
+      // A process that died orders nothing any more.
+      endpoint: {
+        start: (order) => agent.isUp ? endpoint.start(order) : new Promise(() => {}),
+        stop: (run) => agent.isUp ? endpoint.stop(run) : new Promise(() => {}),
+        hold: (order) => agent.isUp ? endpoint.hold(order) : new Promise(() => {})
+      }
+    })
+    return agent
+  }
+
+  private drop (pair: Pair): void {
+    pair.close?.()
+    pair.close = undefined
+  }
+
+  private connect (pair: Pair): void {
+    if (pair.close !== undefined || pair.isCut) return
+    const agent = this.agents[pair.agent]!
+    const entry = this.entries[pair.entry]!
+    if (!agent.isUp) return
+    const isOpen = { agent: true, entry: true }
+    let handle: LeasedAgent | undefined
+    let acked = 0n
+    const now = () => this.clock.now()
+    const lastSeen = { agent: now(), entry: now() }
+    const held: Array<() => void> = []
+    const deliver = (fn: () => void): void => {
+      if (pair.isCut) held.push(fn)
+      else setImmediate(fn)
+    }
+    const toEntry = (change: (frame: AgentFrame) => void): void => {
+      if (!isOpen.agent) return
+      const frame = create(AgentFrameSchema)
+      change(frame)
+      agent.host.stamp(entry.incarnation, frame)
+      deliver(() => {
+        if (!isOpen.entry || !entry.isUp) return
+        lastSeen.entry = now()
+        entry.dispatcher.onFrame(handle!, link, frame)
+      })
+    }
+    const toAgent = (change: (frame: EntryFrame) => void): void => {
+      if (!isOpen.entry) return
+      const frame = create(EntryFrameSchema)
+      change(frame)
+      frame.ackedSeq = acked
+      entry.dispatcher.stamp(handle!, frame)
+      deliver(() => {
+        if (!isOpen.agent || !agent.isUp) return
+        lastSeen.agent = now()
+        agent.host.onFrame(entry.incarnation, toEntry, frame)
+      })
+    }
+    const link: AgentLink = { add: toAgent, acknowledge: (seq) => { acked = seq }, close: () => { closeEntry() } }
+    const closeAgent = (): void => {
+      if (!isOpen.agent) return
+      isOpen.agent = false
+      agent.host.closeSession(entry.incarnation, toEntry)
+    }
+    const closeEntry = (): void => {
+      if (!isOpen.entry) return
+      isOpen.entry = false
+      if (handle !== undefined) entry.dispatcher.closed(handle, link)
+    }
+    handle = entry.dispatcher.open(create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: 'z' }), link)
+    agent.host.openSession(entry.incarnation, toEntry)
+    const keepAlive = (): void => {
+      if (!isOpen.agent && !isOpen.entry) return
+      if (!pair.isCut) for (const fn of held.splice(0)) fn()
+      if (now() - lastSeen.agent > SESSION_TIMEOUT_MS) closeAgent()
+      if (now() - lastSeen.entry > SESSION_TIMEOUT_MS) closeEntry()
+      if (!isOpen.agent && !pair.isCut) closeEntry()
+      if (!isOpen.entry && !pair.isCut) closeAgent()
+      if (!isOpen.agent && !isOpen.entry) return this.clock.after(REDIAL_MS, () => { pair.close = undefined })
+      toEntry(() => {})
+      this.clock.after(KEEP_ALIVE_MS, keepAlive)
+    }
+    pair.close = () => {
+      closeAgent()
+      closeEntry()
+    }
+    keepAlive()
+  }
+}
