--- a/scripts/bundlePlatform.js
+++ b/scripts/bundlePlatform.js
@@ -13,6 +13,7 @@
   outExtension: { '.js': '.mjs' },
   conditions: ['source'],
   sourcemap: 'linked',
+  alias: { undici: './scripts/undiciPool.js' },
   legalComments: 'none',
   // Some libraries are CommonJS and ask for Node.js's own modules by require.
   banner: { js: 'import { createRequire } from \'node:module\'; const require = createRequire(import.meta.url);' }
