Scarce room is offered to one entry at a time, by priority; speed as agents see it

An entry whose first task came to wait told no agent of it, so freed room was heard of with the next keep-alive (up to 150 ms), and was then told to all entries at once; slow endpoints were noticed by each entry alone, after some twenty runs. Ruled out: the store, the restart of agents.

Change: entries say at once that they wait, with the first task's priority; agents offer scarce room in turns; agents judge their own endpoint's speed from all runs and tell it. A job that arrives at a process that does not know its endpoints yet waits for them.

--- a/model/lease.pml
+++ b/model/lease.pml
@@ -52,6 +52,7 @@
 /* The latest stamp of the agent that the entry has read, and when it did. */
 byte stampHeard[NA * NE], heardAt[NA * NE];
 bool ordered[NA * NE];  /* an order is under way from the entry to the agent */
+byte orderEcho[NA * NE];/* the latest stamp when it left: on one stream no later echo overtakes it */
 
 /* Entries. */
 bool alive[NE];
@@ -128,14 +129,23 @@
 #ifndef NO_LAPSE_BEFORE_RENEWAL
         lapse(a);
 #endif
+#ifndef NO_ORDERED_STREAM
+        if
+        :: ordered[PAIR(a, e)] -> renew(a, e, orderEcho[PAIR(a, e)])
+        :: else -> renew(a, e, stampHeard[PAIR(a, e)])
+        fi
+#else
         renew(a, e, stampHeard[PAIR(a, e)])
+#endif
      /* The entry orders a start, if none of its orders can run. */
      :: alive[e] && owner == e && sentTo[e] == NOBODY && stampHeard[PAIR(a, e)] > 0 ->
         sentTo[e] = a;
-        ordered[PAIR(a, e)] = true
+        ordered[PAIR(a, e)] = true;
+        orderEcho[PAIR(a, e)] = stampHeard[PAIR(a, e)]
      /* The order arrives, whenever. */
      :: up[a] && ordered[PAIR(a, e)] ->
         ordered[PAIR(a, e)] = false;
+        orderEcho[PAIR(a, e)] = 0;
         if
 #ifndef NO_START_CHECK
         :: authority[PAIR(a, e)] < now || !joined[a] -> if :: sentTo[e] == a -> sentTo[e] = NOBODY :: else fi
@@ -183,6 +193,7 @@
         authority[PAIR(a, 0)] = 0; authority[PAIR(a, 1)] = 0
      :: !up[a] -> up[a] = true; token[a]++;
         ordered[PAIR(a, 0)] = false; ordered[PAIR(a, 1)] = false;
+        orderEcho[PAIR(a, 0)] = 0; orderEcho[PAIR(a, 1)] = 0;
         stampHeard[PAIR(a, 0)] = 0; stampHeard[PAIR(a, 1)] = 0
      :: up[a] && !joined[a] ->
         joined[a] = true;
--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -34,6 +34,10 @@
   /** When it was last echoed to the agent. */
   echoedAt = 0
   configVersion = 0n
+  /** Run times at its endpoint lately against the expected ones, as the agent sees those of all entries. */
+  slowness = 1
+  /** The agent was told that tasks wait here. */
+  knowsWanting = false
   readonly sent = new Map<string, SentRun>()
   private told = NO_ROOM
   private startsSeen = 0
@@ -65,6 +69,7 @@
     this.link = link
     this.heardAt = now
     this.isResumed = false
+    this.knowsWanting = false
     this.told = NO_ROOM
     this.startsSeen = 0
     this.unseen = []
--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -63,12 +63,16 @@
 const ZONE_PENALTY_MS = 1
 /** Below this, differences of observed speed are noise. */
 const NOTABLE_SLOWNESS = 1.1
+/** An endpoint that is so much slower than expected has a fault. */
+const FAR_SLOWER = 2
 /** Scale of run times in the health records, which compare them with the expected ones. */
 const EXPECTED_SCALE_MS = 100
 /** A run this many times longer than expected is moved, if another endpoint has room. */
 const STRAGGLER_FACTOR = 2.5
 /** Runs that are only this much longer than expected are not moved: moving costs a stop and a new start. */
 const STRAGGLER_MIN_MS = 150
+/** A process that has just started does not know its agents yet; after an outage of all they take about two seconds. */
+const JOIN_MS = 3000
 /** Pause before a task is sent again that an earlier entry's order still holds. */
 const DUPLICATE_PAUSE_MS = 150
 /** Backlog that an entry may take on before it refuses, over what it can start in time. */
@@ -93,8 +97,11 @@
   private readonly jobs = new Map<string, LeasedJob>()
   private readonly runTimes = new RunTimes()
   private readonly config = new ConfigCopy()
+  private readonly startedAt: number
 
-  constructor (private readonly options: LeasedDispatcherOptions) {}
+  constructor (private readonly options: LeasedDispatcherOptions) {
+    this.startedAt = options.clock.now()
+  }
 
   /** Jobs not ended. */
   get openJobs (): number {
@@ -183,7 +190,8 @@
   stamp (agent: LeasedAgent, frame: EntryFrame): void {
     frame.echoStampMs = agent.stampMs
     frame.configVersion = this.config.version
-    frame.wantsRoom = (this.services.get(agent.service)?.queue.size ?? 0) > 0
+    frame.wantingPriority = this.services.get(agent.service)?.queue.firstPriority
+    agent.knowsWanting = frame.wantingPriority !== undefined
     agent.echoedAt = this.options.clock.now()
   }
 
@@ -192,6 +200,7 @@
     const now = this.options.clock.now()
     agent.stampMs = frame.stampMs
     agent.heardAt = now
+    if (frame.slowness > 0) agent.slowness = frame.slowness
     this.onConfig(agent, frame)
     if (frame.endpoint !== undefined) this.onEndpoint(agent, frame)
     else if (frame.leaving) this.onLeaving(agent)
@@ -398,6 +407,8 @@
   private refusalOf (job: LeasedJob): LeasedJobEnd | undefined {
     const agents = this.agentsOf(job.service)
     const capacity = agents.reduce((sum, agent) => sum + agent.capacity.cpuMilli, 0)
+    const isJoining = job.arrivedAt - this.startedAt < JOIN_MS
+    if (capacity === 0 && isJoining) return undefined
     if (capacity === 0) {
       return { type: 'refused', reason: REASONS.noEndpoint, message: `no endpoint serves '${job.service}' now`, retryAfterMs: 1000 }
     }
@@ -442,17 +453,22 @@
     service.isPumpDue = true
     this.options.defer(() => {
       service.isPumpDue = false
-      this.pump(service)
+      this.pump(name, service)
     })
   }
 
-  private pump ({ queue }: ServiceState): void {
+  private pump (name: string, { queue }: ServiceState): void {
     for (const job of queue.inOrder(this.options.clock.now())) {
-      if (!this.place(job)) return
+      if (!this.place(job)) return this.askForRoom(name)
       queue.remove(job)
     }
   }
 
+  /** Agents that do not know yet that tasks wait here are told at once. */
+  private askForRoom (service: string): void {
+    for (const agent of this.agentsOf(service)) if (!agent.knowsWanting) agent.link?.add(() => {})
+  }
+
   /**
    * Sends as many tasks of the job as there is room for.
    *
@@ -476,7 +492,8 @@
   private choose (job: LeasedJob, index: number, except?: LeasedAgent): LeasedAgent | undefined {
     const { zone, clock } = this.options
     const { health } = this.serviceOf(job.service)
-    const quietSince = clock.now() - QUIET_MS
+    const now = clock.now()
+    const quietSince = now - QUIET_MS
     const { avoid } = job.tasks[index]!
     let best: LeasedAgent | undefined
     let bestMs = Infinity
@@ -484,8 +501,9 @@
       const isUsable = agent.service === job.service && agent.link !== undefined && agent.isResumed && !agent.isLeaving &&
         agent.heardAt >= quietSince && agent !== except && agent.hasRoomFor(job.need) && health.maySend(agent.agentId)
       if (!isUsable) continue
-      const slowness = health.slownessOf(agent.agentId)
-      const runMs = job.expectedMs * (slowness < NOTABLE_SLOWNESS ? 1 : slowness)
+      const runMs = job.expectedMs * (agent.slowness < NOTABLE_SLOWNESS ? 1 : agent.slowness)
+      // Waiting for another endpoint is better than a place where the answer comes too late.
+      if (agent.slowness > FAR_SLOWER && now + runMs > job.uselessAt) continue
       const ms = runMs + (agent.zone === zone ? 0 : ZONE_PENALTY_MS) + (avoid.has(agent.agentId) ? job.expectedMs : 0)
       if (ms >= bestMs) continue
       best = agent
@@ -509,7 +527,7 @@
     }
     const tasks = indexes.map((index) => create(LeasedTaskSchema, { index, attempt: job.tasks[index]!.attempt }))
     const start = create(LeasedStartSchema, {
-      workspace, submission: id, payload, tasks, need: create(RoomSchema, need), waitMs: AGENT_WAIT_MS
+      workspace, submission: id, payload, tasks, need: create(RoomSchema, need), waitMs: AGENT_WAIT_MS, expectedMs: Math.round(job.expectedMs)
     })
     this.options.events.sent(job, agent.agentId, indexes, agent.room)
     agent.link!.add((frame) => { frame.leasedStarts.push(start) })
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -7,6 +7,9 @@
 import { ConfigCopy } from './configCopy.js'
 import { EndpointLife } from './endpointLife.js'
 import type { AttemptOver, HeldTask } from './endpointLife.js'
+import { OFFER_MS, RoomTurns } from './roomTurns.js'
+import type { WantingEntry } from './roomTurns.js'
+import { SpeedRecord } from './speedRecord.js'
 import type { LeaseTimes } from './times.js'
 import { RUN_ENDS, fits } from './types.js'
 import type { LeasedEndpoint, Resources } from './types.js'
@@ -35,7 +38,8 @@
 
 interface LeasedSession {
   add: AddToFrame
-  wantsRoom: boolean
+  /** Priority of the first task that waits at the entry. */
+  wantingPriority: number | undefined
   /** Room that the entry was told last. */
   told: Resources
   /** Starts that arrived on this session. */
@@ -50,12 +54,14 @@
   payload: string
   need: Resources
   until: number
+  expectedMs: number
 }
 
 interface RunningTask {
   owner: string
   key: TaskKey
   held: HeldTask
+  expectedMs: number
 }
 
 const NO_ROOM: Resources = { cpuMilli: 0, memoryMb: 0 }
@@ -79,6 +85,8 @@
   private readonly authority = new Map<string, number>()
   private readonly mailboxes: Mailboxes
   private readonly config = new ConfigCopy()
+  private readonly turns: RoomTurns
+  private speed: SpeedRecord
   private running: RunningTask[] = []
   private waiting: WaitingTask[] = []
   private life: EndpointLife | undefined
@@ -88,6 +96,8 @@
 
   constructor (private readonly options: LeasedHostOptions) {
     this.mailboxes = new Mailboxes(options.clock.now)
+    this.turns = new RoomTurns(options.clock.now)
+    this.speed = new SpeedRecord(options.clock)
   }
 
   /** Tasks that run or wait here. */
@@ -115,6 +125,7 @@
     this.removeEndpoint(REASONS.endpointGone)
     this.announced = announced
     this.isDraining = false
+    this.speed = new SpeedRecord(this.options.clock)
     this.life = new EndpointLife({
       clock: this.options.clock,
       endpoint: announced.endpoint,
@@ -155,7 +166,7 @@
   }
 
   openSession (incarnation: string, add: AddToFrame): void {
-    this.sessions.set(incarnation, { add, wantsRoom: false, told: NO_ROOM, startsSeen: 0, toldStartsSeen: 0 })
+    this.sessions.set(incarnation, { add, wantingPriority: undefined, told: NO_ROOM, startsSeen: 0, toldStartsSeen: 0 })
     const held = [...this.running, ...this.waiting].filter(({ owner }) => owner === incarnation).map(({ key }) => key)
     const unacked = this.mailboxes.unackedOf(incarnation)
     add((frame) => {
@@ -170,6 +181,7 @@
     if (this.sessions.get(incarnation)?.add !== add) return
     // What runs for the entry goes on until its authority lapses: the session may resume.
     this.sessions.delete(incarnation)
+    this.turns.forget(incarnation)
   }
 
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
@@ -177,21 +189,24 @@
     if (session?.add !== add) return
     this.renew(incarnation, frame.echoStampMs)
     this.mailboxes.acknowledge(incarnation, frame.ackedSeq)
-    session.wantsRoom = frame.wantsRoom
+    session.wantingPriority = frame.wantingPriority
     for (const revoke of frame.revokes) this.onRevoke(incarnation, revoke)
     for (const start of frame.leasedStarts) {
       session.startsSeen += start.tasks.length
       this.onStart(incarnation, start)
     }
+    if (frame.leasedStarts.length > 0) this.turns.served(incarnation)
+    this.offerRoom()
     this.onConfig(session, frame)
   }
 
   stamp (incarnation: string, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
     frame.configVersion = this.config.version
+    frame.slowness = this.speed.read(this.running.map(({ held, expectedMs }) => ({ startedAt: held.startedAt, expectedMs })))
     const session = this.sessions.get(incarnation)
     if (session === undefined) return
-    const room = this.room
+    const room = this.roomFor(incarnation)
     const isTold = room.cpuMilli === session.told.cpuMilli && room.memoryMb === session.told.memoryMb &&
       session.startsSeen === session.toldStartsSeen
     if (isTold) return
@@ -219,6 +234,36 @@
     return room
   }
 
+  private roomFor (incarnation: string): Resources {
+    const free = this.room
+    const capacity = this.announced?.capacity ?? NO_ROOM
+    return this.turns.isOffered(incarnation, free, capacity, this.wanting) ? free : NO_ROOM
+  }
+
+  private get wanting (): WantingEntry[] {
+    const wanting: WantingEntry[] = []
+    for (const [incarnation, { wantingPriority }] of this.sessions) {
+      if (wantingPriority !== undefined) wanting.push({ incarnation, priority: wantingPriority })
+    }
+    return wanting
+  }
+
+  /** Tells the entry whose turn it is of free room; one that does not use it is passed over. */
+  private offerRoom (): void {
+    const wanting = this.wanting
+    if (wanting.length === 0 || this.room.cpuMilli === 0) return
+    const holder = this.turns.holderOf(wanting)!
+    this.sessions.get(holder)?.add(() => {})
+    if (wanting.length > 1) this.options.clock.after(OFFER_MS, () => this.passOn(holder))
+  }
+
+  private passOn (holder: string): void {
+    if (this.turns.holderOf(this.wanting) !== holder) return
+    this.turns.served(holder)
+    const next = this.turns.holderOf(this.wanting)
+    if (next !== undefined && this.room.cpuMilli > 0) this.sessions.get(next)?.add(() => {})
+  }
+
   private hasAuthority (incarnation: string): boolean {
     return this.options.clock.now() <= (this.authority.get(incarnation) ?? -Infinity)
   }
@@ -256,12 +301,12 @@
     this.mailboxes.sweep((incarnation) => this.sessions.has(incarnation), this.options.clock.now() - MAILBOX_MEMORY_MS)
   }
 
-  private onStart (owner: string, { workspace, submission, payload, tasks, need, waitMs }: LeasedStart): void {
+  private onStart (owner: string, { workspace, submission, payload, tasks, need, waitMs, expectedMs }: LeasedStart): void {
     const until = this.options.clock.now() + waitMs
     for (const { index, attempt } of tasks) {
       const key = create(TaskKeySchema, { workspace, submission, task: index, attempt })
       const refusal = this.refusalOf(owner, key)
-      if (refusal === undefined) this.waiting.push({ owner, key, payload, need: need ?? NO_ROOM, until })
+      if (refusal === undefined) this.waiting.push({ owner, key, payload, need: need ?? NO_ROOM, until, expectedMs })
       else this.tell(owner, key, TASK_OUTCOMES.notStarted, refusal)
     }
     this.startWaiting()
@@ -279,18 +324,19 @@
     while (this.waiting.length > 0 && this.life !== undefined && fits(this.waiting[0]!.need, this.life.room)) this.run(this.life, this.waiting.shift()!)
   }
 
-  private run (life: EndpointLife, { owner, key, payload, need }: WaitingTask): void {
+  private run (life: EndpointLife, { owner, key, payload, need, expectedMs }: WaitingTask): void {
     const held = life.start(key.submission, key.task, payload, need, (over) => this.onOver(running, over))
-    const running: RunningTask = { owner, key, held }
+    const running: RunningTask = { owner, key, held, expectedMs }
     this.running.push(running)
   }
 
   private onOver (running: RunningTask, over: AttemptOver): void {
     this.running = this.running.filter((other) => other !== running)
-    const { owner, key, held } = running
+    const { owner, key, held, expectedMs } = running
     const runMs = Math.round(this.options.clock.now() - held.startedAt)
     if (over.type === 'not_started') return this.tell(owner, key, TASK_OUTCOMES.notStarted, over.reason)
     if (over.type === 'lost') return this.tell(owner, key, TASK_OUTCOMES.failed, over.reason, runMs)
+    if (over.how === RUN_ENDS.done) this.speed.observe(runMs, expectedMs)
     if (over.how === RUN_ENDS.done) return this.tell(owner, key, TASK_OUTCOMES.done, '', runMs)
     this.tell(owner, key, TASK_OUTCOMES.failed, REASON_OF_END[over.how], runMs)
   }
@@ -323,7 +369,7 @@
 
   private onRoom (): void {
     this.startWaiting()
-    for (const { add, wantsRoom } of this.sessions.values()) if (wantsRoom) add(() => {})
+    this.offerRoom()
   }
 
   private tellEndpoint (): void {
--- a/packages/coordination/src/leased/leasedJob.ts
+++ b/packages/coordination/src/leased/leasedJob.ts
@@ -95,8 +95,11 @@
   state: LEASED_TASK_STATES.queued, attempt: 0, failures: 0, avoid: new Set(), isMoving: false
 })
 
+/** Part of the response time that no run shows: the way to the caller and back, orders and looks at the endpoint, in ms. */
+const OVERHEAD_MS = 15
+
 const timesOf = ({ objective, deadlineMs }: LeasedJobSpec, arrivedAt: number, expectedMs: number) => {
-  const objectiveMs = objective.stretch * expectedMs + objective.slackMs
+  const objectiveMs = objective.stretch * expectedMs + objective.slackMs - OVERHEAD_MS
   const deadlineAt = arrivedAt + deadlineMs
   return {
     dueAt: Math.min(deadlineAt, arrivedAt + objectiveMs),
--- a/packages/coordination/src/leased/leasedQueue.ts
+++ b/packages/coordination/src/leased/leasedQueue.ts
@@ -19,6 +19,13 @@
     return this.jobs.values()
   }
 
+  /** Priority of the job that goes first; undefined if none waits. */
+  get firstPriority (): number | undefined {
+    let first: number | undefined
+    for (const { priority } of this.jobs) if (first === undefined || priority < first) first = priority
+    return first
+  }
+
   add (job: LeasedJob): void {
     this.jobs.add(job)
   }
--- a/packages/coordination/tests/leased/leased.test.ts
+++ b/packages/coordination/tests/leased/leased.test.ts
@@ -190,8 +190,16 @@
     expect(refused.filter((id) => ran.has(id))).toEqual([])
   })
 
+  it('a job that arrives before its entry knows any endpoint waits for one', async () => {
+    const network = new LeasedNetwork(1, 1)
+    network.submit(0, 'j', 1)
+    await network.advance(800)
+    expect(network.ends.get('j')).toEqual({ type: 'complete' })
+  })
+
   it('without any endpoint a job is refused at once', async () => {
     const network = await started(1, 0)
+    await network.advance(3000)
     network.submit(0, 'j', 1)
     await network.advance(5)
     expect(network.ends.get('j')).toMatchObject({ type: 'refused', reason: REASONS.noEndpoint })
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -80,8 +80,20 @@
   submit (entry: number, id: string, count: number, more: Partial<LeasedJobSpec> = {}): { leave: () => void } {
     const { jobs } = this.entries[entry]!
     const attachment = jobs.submit({
-      workspace: 'w', id, requestId: '', service: 's', payload: 'p', count, need: { cpuMilli: TASK_CPU, memoryMb: 64 }, estimateMs: 100, kind: 'k',
-      priority: 0, attempts: 2, objective: { stretch: 20, slackMs: 2000, lateFactor: 3 }, deadlineMs: 10_000, ...more
+      workspace: 'w',
+      id,
+      requestId: '',
+      service: 's',
+      payload: 'p',
+      count,
+      need: { cpuMilli: TASK_CPU, memoryMb: 64 },
+      estimateMs: 100,
+      kind: 'k',
+      priority: 0,
+      attempts: 2,
+      objective: { stretch: 20, slackMs: 2000, lateFactor: 3 },
+      deadlineMs: 10_000,
+      ...more
     })
     void attachment.end.then((end) => this.ends.set(id, end))
     return attachment
