--- a/packages/common/src/logToStdout.ts
+++ b/packages/common/src/logToStdout.ts
@@ -1,4 +1,4 @@
-import { SonicBoom } from 'sonic-boom'
+import sonicBoom from 'sonic-boom'
 import { setLogSink } from './createLogger.js'
 
 /** Log lines on their way to standard output. */
@@ -18,7 +18,7 @@
 
 /** Sends all log lines to standard output through a bounded buffer; writing never blocks. */
 export const logToStdout = (): LogOutput => {
-  const output = new SonicBoom({ fd: 1, sync: false, minLength: WRITE_BYTES, maxLength: MAX_WAITING_BYTES, periodicFlush: FLUSH_MS })
+  const output = new sonicBoom.SonicBoom({ fd: 1, sync: false, minLength: WRITE_BYTES, maxLength: MAX_WAITING_BYTES, periodicFlush: FLUSH_MS })
   let dropped = 0
   output.on('drop', () => { dropped++ })
   // Without a reader there is nobody to tell; the drops are counted.
--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -98,6 +98,7 @@
   private readonly runTimes = new RunTimes()
   private readonly config = new ConfigCopy()
   private readonly startedAt: number
+  private hasSeenEndpoint = false
 
   constructor (private readonly options: LeasedDispatcherOptions) {
     this.startedAt = options.clock.now()
@@ -230,6 +231,7 @@
     agent.isLeaving = leaving
     this.options.events.agentChanged(agent, 'endpoint')
     if (agent.service === '') return
+    this.hasSeenEndpoint = true
     this.serviceOf(agent.service).health.add(agent.agentId)
     // Its endpoint has shown that nothing of an earlier process of the agent runs any more.
     for (const earlier of [...this.replaced]) if (earlier.agentId === agent.agentId) this.lose(earlier, REASONS.agentLost)
@@ -344,10 +346,10 @@
 
   private checkTimes (job: LeasedJob, now: number): void {
     if (job.end !== undefined) return
-    if (now >= job.deadlineAt) return this.cancel(job, REASONS.deadline, 'the caller\'s deadline has passed')
     if (job.mayHaveRun === 0 && now + job.expectedMs > job.uselessAt) {
       return this.finish(job, this.overload('no room came free in time'))
     }
+    if (now >= job.deadlineAt) return this.cancel(job, REASONS.deadline, 'the caller\'s deadline has passed')
     this.moveStragglers(job, now)
   }
 
@@ -407,7 +409,7 @@
   private refusalOf (job: LeasedJob): LeasedJobEnd | undefined {
     const agents = this.agentsOf(job.service)
     const capacity = agents.reduce((sum, agent) => sum + agent.capacity.cpuMilli, 0)
-    const isJoining = job.arrivedAt - this.startedAt < JOIN_MS
+    const isJoining = !this.hasSeenEndpoint && job.arrivedAt - this.startedAt < JOIN_MS
     if (capacity === 0 && isJoining) return undefined
     if (capacity === 0) {
       return { type: 'refused', reason: REASONS.noEndpoint, message: `no endpoint serves '${job.service}' now`, retryAfterMs: 1000 }
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -2,7 +2,7 @@
 import { AgentFrameSchema, EntryFrameSchema, HelloSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
 import { LeasedDispatcher, LeasedHost, LeasedJobs } from '../../src/index.js'
-import type { AgentLink, LeasedAgent, LeasedDispatchEvents, LeasedJobEnd, LeasedJobSpec, LeaseTimes } from '../../src/index.js'
+import type { AgentLink, LeasedDispatchEvents, LeasedJobEnd, LeasedJobSpec, LeaseTimes } from '../../src/index.js'
 import { createFakeClock } from '../fakeClock.js'
 import type { FakeClock } from '../fakeClock.js'
 import { CAPACITY, FakeEndpoint } from './fakeEndpoint.js'
@@ -172,7 +172,6 @@
     const entry = this.entries[pair.entry]!
     if (!agent.isUp) return
     const isOpen = { agent: true, entry: true }
-    let handle: LeasedAgent | undefined
     let acked = 0n
     const now = () => this.clock.now()
     const lastSeen = { agent: now(), entry: now() }
@@ -189,7 +188,7 @@
       deliver(() => {
         if (!isOpen.entry || !entry.isUp) return
         lastSeen.entry = now()
-        entry.dispatcher.onFrame(handle!, link, frame)
+        entry.dispatcher.onFrame(handle, link, frame)
       })
     }
     const toAgent = (change: (frame: EntryFrame) => void): void => {
@@ -197,7 +196,7 @@
       const frame = create(EntryFrameSchema)
       change(frame)
       frame.ackedSeq = acked
-      entry.dispatcher.stamp(handle!, frame)
+      entry.dispatcher.stamp(handle, frame)
       deliver(() => {
         if (!isOpen.agent || !agent.isUp) return
         lastSeen.agent = now()
@@ -213,9 +212,9 @@
     const closeEntry = (): void => {
       if (!isOpen.entry) return
       isOpen.entry = false
-      if (handle !== undefined) entry.dispatcher.closed(handle, link)
+      entry.dispatcher.closed(handle, link)
     }
-    handle = entry.dispatcher.open(create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: 'z' }), link)
+    const handle = entry.dispatcher.open(create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: 'z' }), link)
     agent.host.openSession(entry.incarnation, toEntry)
     const keepAlive = (): void => {
       if (!isOpen.agent && !isOpen.entry) return
@@ -224,7 +223,10 @@
       if (now() - lastSeen.entry > SESSION_TIMEOUT_MS) closeEntry()
       if (!isOpen.agent && !pair.isCut) closeEntry()
       if (!isOpen.entry && !pair.isCut) closeAgent()
-      if (!isOpen.agent && !isOpen.entry) return this.clock.after(REDIAL_MS, () => { pair.close = undefined })
+      if (!isOpen.agent && !isOpen.entry) {
+        this.clock.after(REDIAL_MS, () => { pair.close = undefined })
+        return
+      }
       toEntry(() => {})
       this.clock.after(KEEP_ALIVE_MS, keepAlive)
     }
