--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -1,16 +1,16 @@
 import { create } from '@bufbuild/protobuf'
-import type { Clock } from '@hazellift/common'
 import { LeasedStartSchema, LeasedTaskSchema, REASONS, RevokeSchema, RoomSchema, TASK_OUTCOMES, TaskKeySchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame, Hello, Reason, TaskResult } from '@hazellift/protocol'
-import { EndpointHealth } from '../health/endpointHealth.js'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { taskKey } from '../tasks/keys.js'
 import { ConfigCopy } from './configCopy.js'
+import { findRefusal, overload } from './leasedAdmission.js'
 import { LeasedAgent } from './leasedAgent.js'
 import type { SentRun } from './leasedAgent.js'
+import { LeasedFleet } from './leasedFleet.js'
+import type { LeasedFleetOptions, LeasedService } from './leasedFleet.js'
 import { LEASED_TASK_STATES, createLeasedJob } from './leasedJob.js'
 import type { LeasedJob, LeasedJobEnd, LeasedJobSpec } from './leasedJob.js'
-import { LeasedQueue } from './leasedQueue.js'
 import { RunTimes } from './runTimes.js'
 import { provedOverMs } from './times.js'
 import type { LeaseTimes } from './times.js'
@@ -34,37 +34,19 @@
 }
 
 /** What the dispatcher needs. */
-export interface LeasedDispatcherOptions {
-  clock: Clock
-  zone: string
+export interface LeasedDispatcherOptions extends LeasedFleetOptions {
   times: LeaseTimes
   events: LeasedDispatchEvents
-  setAsideShare: number
-  setAsideBackoff: (times: number) => number
   /** Entries that share the endpoints, this one included. */
   entryCount: () => number
   /** Runs `fn` after the events that are ready now. */
   defer: (fn: () => void) => void
 }
 
-interface ServiceState {
-  queue: LeasedQueue
-  health: EndpointHealth
-  isPumpDue: boolean
-}
-
-/** An agent that was silent for longer gets no start: it may be lost. A few keep-alives long. */
-const QUIET_MS = 400
 /** How long a start may wait at its agent for room that other entries' tasks took meanwhile. */
 const AGENT_WAIT_MS = 20
 /** Frames of an agent are echoed no more often than this. */
 const ECHO_PACE_MS = 80
-/** Crossing zones costs a round trip of about a millisecond. */
-const ZONE_PENALTY_MS = 1
-/** Below this, differences of observed speed are noise. */
-const NOTABLE_SLOWNESS = 1.1
-/** An endpoint that is so much slower than expected has a fault. */
-const FAR_SLOWER = 2
 /** Scale of run times in the health records, which compare them with the expected ones. */
 const EXPECTED_SCALE_MS = 100
 /** A run this many times longer than expected is moved, if another endpoint has room. */
@@ -75,8 +57,11 @@
 const JOIN_MS = 3000
 /** Pause before a task is sent again that an earlier entry's order still holds. */
 const DUPLICATE_PAUSE_MS = 150
-/** Backlog that an entry may take on before it refuses, over what it can start in time. */
-const MAX_WAITING_JOBS = 2000
+/** How long a run of the job may take before it counts as a straggler. */
+const stragglerMs = ({ expectedMs, longestRunMs }: LeasedJob): number => {
+  const usualMs = Math.max(expectedMs, longestRunMs)
+  return Math.max(STRAGGLER_FACTOR * usualMs, usualMs + STRAGGLER_MIN_MS)
+}
 
 /** Reasons after which the task itself was at fault, or its endpoint. */
 const COUNTED_REASONS: ReadonlySet<string> = new Set([REASONS.endpointError])
@@ -90,8 +75,7 @@
  * from its agent.
  */
 export class LeasedDispatcher implements SessionDispatcher<LeasedAgent> {
-  private readonly services = new Map<string, ServiceState>()
-  private readonly agents = new Map<string, LeasedAgent>()
+  private readonly fleet: LeasedFleet
   /** Processes of agents that another one has replaced, until their orders are over. */
   private readonly replaced = new Set<LeasedAgent>()
   private readonly jobs = new Map<string, LeasedJob>()
@@ -101,6 +85,7 @@
   private hasSeenEndpoint = false
 
   constructor (private readonly options: LeasedDispatcherOptions) {
+    this.fleet = new LeasedFleet(options)
     this.startedAt = options.clock.now()
   }
 
@@ -114,7 +99,7 @@
   /** Jobs of a kind of which nothing was started. */
   pendingOf (kind: string): number {
     let pending = 0
-    for (const { queue } of this.services.values()) {
+    for (const { queue } of this.fleet.services.values()) {
       for (const job of queue) if (job.kind === kind && job.mayHaveRun === 0) pending++
     }
     return pending
@@ -123,7 +108,7 @@
   /** Agents with a session. */
   get connectedAgents (): number {
     let connected = 0
-    for (const { link } of this.agents.values()) if (link !== undefined) connected++
+    for (const { link } of this.fleet.agents.values()) if (link !== undefined) connected++
     return connected
   }
 
@@ -140,13 +125,13 @@
   submit (spec: LeasedJobSpec, onEnd: (end: LeasedJobEnd) => void): LeasedJob {
     const { clock } = this.options
     const job = createLeasedJob(spec, clock.now(), this.runTimes.expect(spec.kind, spec.estimateMs), onEnd)
-    const refusal = this.refusalOf(job)
+    const refusal = this.isJoining ? undefined : findRefusal(job, this.fleet, this.options.entryCount())
     if (refusal !== undefined) {
       this.finish(job, refusal)
       return job
     }
     this.jobs.set(job.key, job)
-    this.serviceOf(job.service).queue.add(job)
+    this.fleet.serviceOf(job.service).queue.add(job)
     this.schedulePump(job.service)
     return job
   }
@@ -160,23 +145,24 @@
   /** Looks at what time has changed; to be called a few tens of times a second. */
   sweep (): void {
     const now = this.options.clock.now()
-    for (const agent of [...this.agents.values(), ...this.replaced]) this.checkLost(agent, now)
+    for (const agent of [...this.fleet.agents.values(), ...this.replaced]) this.checkLost(agent, now)
     for (const job of [...this.jobs.values()]) this.checkTimes(job, now)
-    for (const service of this.services.keys()) this.schedulePump(service)
+    this.moveStragglers(now)
+    for (const service of this.fleet.services.keys()) this.schedulePump(service)
   }
 
   /** A configuration document came into force here; agents keep it for other entries. */
   setConfig (version: bigint, document: Uint8Array): void {
     if (!this.config.offer(version, document)) return
-    for (const agent of this.agents.values()) this.offerConfig(agent)
+    for (const agent of this.fleet.agents.values()) this.offerConfig(agent)
   }
 
   open (hello: Hello, link: AgentLink): LeasedAgent {
-    const known = this.agents.get(hello.agentId)
+    const known = this.fleet.agents.get(hello.agentId)
     const isSame = known?.incarnation === hello.incarnation
     if (known !== undefined && !isSame) this.replace(known)
     const agent = known !== undefined && isSame ? known : new LeasedAgent(hello)
-    this.agents.set(agent.agentId, agent)
+    this.fleet.agents.set(agent.agentId, agent)
     agent.connect(link, this.options.clock.now())
     this.options.events.agentChanged(agent, 'session_open')
     return agent
@@ -191,7 +177,7 @@
   stamp (agent: LeasedAgent, frame: EntryFrame): void {
     frame.echoStampMs = agent.stampMs
     frame.configVersion = this.config.version
-    frame.wantingPriority = this.services.get(agent.service)?.queue.firstPriority
+    frame.wantingPriority = this.fleet.services.get(agent.service)?.queue.firstPriority
     agent.knowsWanting = frame.wantingPriority !== undefined
     agent.echoedAt = this.options.clock.now()
   }
@@ -212,6 +198,11 @@
     if (agent.service !== '') this.schedulePump(agent.service)
   }
 
+  /** True while a job may wait for endpoints that this process does not know yet. */
+  private get isJoining (): boolean {
+    return !this.hasSeenEndpoint && this.options.clock.now() - this.startedAt < JOIN_MS
+  }
+
   private onConfig (agent: LeasedAgent, { configVersion, config }: AgentFrame): void {
     agent.configVersion = configVersion
     if (config.length > 0 && this.config.offer(configVersion, config)) this.options.events.configSeen(configVersion, config)
@@ -226,13 +217,13 @@
   }
 
   private onEndpoint (agent: LeasedAgent, { endpoint, leaving }: AgentFrame): void {
-    if (agent.service !== '') this.serviceOf(agent.service).health.remove(agent.agentId)
+    if (agent.service !== '') this.fleet.serviceOf(agent.service).health.remove(agent.agentId)
     agent.setEndpoint(endpoint!)
     agent.isLeaving = leaving
     this.options.events.agentChanged(agent, 'endpoint')
     if (agent.service === '') return
     this.hasSeenEndpoint = true
-    this.serviceOf(agent.service).health.add(agent.agentId)
+    this.fleet.serviceOf(agent.service).health.add(agent.agentId)
     // Its endpoint has shown that nothing of an earlier process of the agent runs any more.
     for (const earlier of [...this.replaced]) if (earlier.agentId === agent.agentId) this.lose(earlier, REASONS.agentLost)
   }
@@ -268,7 +259,7 @@
 
   private onDone (agent: LeasedAgent, { job, index }: SentRun, runMs: number): void {
     const ratio = runMs / Math.max(1, this.runTimes.expect(job.kind, job.estimateMs))
-    this.healthOf(agent)?.succeeded(agent.agentId, ratio * EXPECTED_SCALE_MS)
+    this.fleet.healthOf(agent)?.succeeded(agent.agentId, ratio * EXPECTED_SCALE_MS)
     this.runTimes.observe(job.kind, job.estimateMs, runMs)
     job.unproved--
     job.longestRunMs = Math.max(job.longestRunMs, runMs)
@@ -281,7 +272,7 @@
   private onNotStarted (agent: LeasedAgent, { job, index }: SentRun, reason: Reason): void {
     const isTurnedAway = reason === REASONS.endpointBusy || reason === REASONS.orderUnanswered
     if (isTurnedAway) {
-      this.healthOf(agent)?.failed(agent.agentId)
+      this.fleet.healthOf(agent)?.failed(agent.agentId)
       job.tasks[index]!.avoid.add(agent.agentId)
     }
     job.mayHaveRun--
@@ -295,7 +286,7 @@
     task.attempt++
     if (task.isMoving) task.avoid.add(agent.agentId)
     if (!COUNTED_REASONS.has(reason)) return this.requeue(agent, job, index, reason)
-    this.healthOf(agent)?.failed(agent.agentId)
+    this.fleet.healthOf(agent)?.failed(agent.agentId)
     task.failures++
     task.avoid.add(agent.agentId)
     if (task.failures >= job.attempts && job.end === undefined) {
@@ -313,15 +304,15 @@
     if (job.end !== undefined) return this.forgetIfOver(job)
     this.options.events.requeued(job, index, agent.agentId, reason)
     job.queue.push(index)
-    this.serviceOf(job.service).queue.add(job)
+    this.fleet.serviceOf(job.service).queue.add(job)
     this.schedulePump(job.service)
   }
 
   private replace (agent: LeasedAgent): void {
     agent.link?.close()
     agent.link = undefined
-    this.agents.delete(agent.agentId)
-    if (agent.service !== '') this.serviceOf(agent.service).health.remove(agent.agentId)
+    this.fleet.agents.delete(agent.agentId)
+    if (agent.service !== '') this.fleet.serviceOf(agent.service).health.remove(agent.agentId)
     if (agent.sent.size > 0) this.replaced.add(agent)
   }
 
@@ -330,7 +321,7 @@
     if (silentMs < provedOverMs(this.options.times)) return
     if (agent.sent.size > 0) this.options.events.agentLost(agent.agentId, Math.round(silentMs), agent.sent.size)
     this.lose(agent, REASONS.agentLost)
-    if (agent.link === undefined && this.agents.get(agent.agentId) === agent) this.replace(agent)
+    if (agent.link === undefined && this.fleet.agents.get(agent.agentId) === agent) this.replace(agent)
   }
 
   /** Nothing that was sent to this process of the agent can run any more. */
@@ -347,30 +338,22 @@
   private checkTimes (job: LeasedJob, now: number): void {
     if (job.end !== undefined) return
     if (job.mayHaveRun === 0 && now + job.expectedMs > job.uselessAt) {
-      return this.finish(job, this.overload('no room came free in time'))
+      return this.finish(job, overload('no room came free in time'))
     }
     if (now >= job.deadlineAt) return this.cancel(job, REASONS.deadline, 'the caller\'s deadline has passed')
-    this.moveStragglers(job, now)
-  }
-
-  private overload (message: string): LeasedJobEnd {
-    return { type: 'refused', reason: REASONS.overload, message, retryAfterMs: 1000 }
   }
 
   /** Stops runs that take far longer than others of their kind, so that they can run elsewhere. */
-  private moveStragglers (job: LeasedJob, now: number): void {
-    if (job.unproved === 0) return
-    const usualMs = Math.max(job.expectedMs, job.longestRunMs)
-    const limitMs = Math.max(STRAGGLER_FACTOR * usualMs, usualMs + STRAGGLER_MIN_MS)
-    for (const agent of this.agents.values()) {
-      for (const sent of agent.sent.values()) {
-        const task = job.tasks[sent.index]!
-        if (sent.job !== job || task.isMoving || now - sent.sentAt < limitMs) continue
-        if (task.avoid.size > 0 || this.choose(job, sent.index, agent) === undefined) continue
+  private moveStragglers (now: number): void {
+    for (const agent of this.fleet.agents.values()) {
+      for (const { job, index, sentAt } of agent.sent.values()) {
+        const task = job.tasks[index]!
+        if (job.end !== undefined || task.isMoving || task.avoid.size > 0 || now - sentAt < stragglerMs(job)) continue
+        if (this.fleet.choose(job, index, agent) === undefined) continue
         task.isMoving = true
-        this.options.events.moved(job, sent.index, agent.agentId, now - sent.sentAt)
-        this.healthOf(agent)?.failed(agent.agentId)
-        this.revoke(agent, job, [sent.index])
+        this.options.events.moved(job, index, agent.agentId, now - sentAt)
+        this.fleet.healthOf(agent)?.failed(agent.agentId)
+        this.revoke(agent, job, [index])
       }
     }
   }
@@ -385,7 +368,7 @@
     if (job.end !== undefined) return
     job.end = end
     job.queue = []
-    this.services.get(job.service)?.queue.remove(job)
+    this.fleet.services.get(job.service)?.queue.remove(job)
     if (end.type === 'failed') this.revokeAll(job)
     this.options.events.ended(job, end)
     job.onEnd(end)
@@ -393,7 +376,7 @@
   }
 
   private revokeAll (job: LeasedJob): void {
-    for (const agent of this.agents.values()) {
+    for (const agent of this.fleet.agents.values()) {
       const isThere = [...agent.sent.values()].some((sent) => sent.job === job)
       if (isThere) this.revoke(agent, job, [])
     }
@@ -406,51 +389,8 @@
     job.onOver = undefined
   }
 
-  private refusalOf (job: LeasedJob): LeasedJobEnd | undefined {
-    const agents = this.agentsOf(job.service)
-    const capacity = agents.reduce((sum, agent) => sum + agent.capacity.cpuMilli, 0)
-    const isJoining = !this.hasSeenEndpoint && job.arrivedAt - this.startedAt < JOIN_MS
-    if (capacity === 0 && isJoining) return undefined
-    if (capacity === 0) {
-      return { type: 'refused', reason: REASONS.noEndpoint, message: `no endpoint serves '${job.service}' now`, retryAfterMs: 1000 }
-    }
-    const { queue } = this.serviceOf(job.service)
-    if (queue.size >= MAX_WAITING_JOBS) return this.overload('too many jobs wait')
-    const ownMilli = Math.max(this.runningMilli(job.service), capacity / Math.max(1, this.options.entryCount()))
-    const waitMs = queue.workAhead(job.priority, workLeft) / ownMilli
-    if (job.arrivedAt + waitMs + job.expectedMs <= job.uselessAt) return undefined
-    return this.overload(`the jobs ahead take about ${Math.round(waitMs)} ms`)
-  }
-
-  /** Processor share in use by this entry's orders. */
-  private runningMilli (service: string): number {
-    let milli = 0
-    for (const agent of this.agentsOf(service)) {
-      for (const { job } of agent.sent.values()) milli += job.need.cpuMilli
-    }
-    return milli
-  }
-
-  private agentsOf (service: string): LeasedAgent[] {
-    return [...this.agents.values()].filter((agent) => agent.service === service && agent.link !== undefined && !agent.isLeaving)
-  }
-
-  private serviceOf (name: string): ServiceState {
-    const known = this.services.get(name)
-    if (known !== undefined) return known
-    const { clock, setAsideShare, setAsideBackoff } = this.options
-    const health = new EndpointHealth({ now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff })
-    const service = { queue: new LeasedQueue(), health, isPumpDue: false }
-    this.services.set(name, service)
-    return service
-  }
-
-  private healthOf (agent: LeasedAgent): EndpointHealth | undefined {
-    return this.services.get(agent.service)?.health
-  }
-
   private schedulePump (name: string): void {
-    const service = this.serviceOf(name)
+    const service = this.fleet.serviceOf(name)
     if (service.isPumpDue || service.queue.size === 0) return
     service.isPumpDue = true
     this.options.defer(() => {
@@ -459,7 +399,7 @@
     })
   }
 
-  private pump (name: string, { queue }: ServiceState): void {
+  private pump (name: string, { queue }: LeasedService): void {
     for (const job of queue.inOrder(this.options.clock.now())) {
       if (!this.place(job)) return this.askForRoom(name)
       queue.remove(job)
@@ -468,7 +408,7 @@
 
   /** Agents that do not know yet that tasks wait here are told at once. */
   private askForRoom (service: string): void {
-    for (const agent of this.agentsOf(service)) if (!agent.knowsWanting) agent.link?.add(() => {})
+    for (const agent of this.fleet.agentsOf(service)) if (!agent.knowsWanting) agent.link?.add(() => {})
   }
 
   /**
@@ -480,7 +420,7 @@
     const placed = new Map<LeasedAgent, number[]>()
     while (job.queue.length > 0) {
       const index = job.queue.at(-1)!
-      const agent = this.choose(job, index)
+      const agent = this.fleet.choose(job, index)
       if (agent === undefined) break
       job.queue.pop()
       agent.reserve(job.need)
@@ -490,34 +430,10 @@
     return job.queue.length === 0
   }
 
-  /** The agent where the task would end soonest, among those with room. */
-  private choose (job: LeasedJob, index: number, except?: LeasedAgent): LeasedAgent | undefined {
-    const { zone, clock } = this.options
-    const { health } = this.serviceOf(job.service)
-    const now = clock.now()
-    const quietSince = now - QUIET_MS
-    const { avoid } = job.tasks[index]!
-    let best: LeasedAgent | undefined
-    let bestMs = Infinity
-    for (const agent of this.agents.values()) {
-      const isUsable = agent.service === job.service && agent.link !== undefined && agent.isResumed && !agent.isLeaving &&
-        agent.heardAt >= quietSince && agent !== except && agent.hasRoomFor(job.need) && health.maySend(agent.agentId)
-      if (!isUsable) continue
-      const runMs = job.expectedMs * (agent.slowness < NOTABLE_SLOWNESS ? 1 : agent.slowness)
-      // Waiting for another endpoint is better than a place where the answer comes too late.
-      if (agent.slowness > FAR_SLOWER && now + runMs > job.uselessAt) continue
-      const ms = runMs + (agent.zone === zone ? 0 : ZONE_PENALTY_MS) + (avoid.has(agent.agentId) ? job.expectedMs : 0)
-      if (ms >= bestMs) continue
-      best = agent
-      bestMs = ms
-    }
-    return best
-  }
-
   private send (agent: LeasedAgent, job: LeasedJob, indexes: number[]): void {
     const now = this.options.clock.now()
     const { workspace, id, payload, need } = job
-    const { health } = this.serviceOf(job.service)
+    const { health } = this.fleet.serviceOf(job.service)
     for (const index of indexes) {
       const task = job.tasks[index]!
       const key = taskKey(create(TaskKeySchema, { workspace, submission: id, task: index, attempt: task.attempt }))
@@ -535,5 +451,3 @@
     agent.link!.add((frame) => { frame.leasedStarts.push(start) })
   }
 }
-
-const workLeft = ({ queue, need, expectedMs }: LeasedJob): number => queue.length * need.cpuMilli * expectedMs
