A run is moved for being late only with the endpoint's other runs, or far later

Ruled out: slow endpoints (both ended other runs as expected). Change: at an endpoint that its agent sees to be slow, twice the usual time, which is at least the queue's mean; elsewhere four times. Test first: a job three times as long as guessed had 6 runs for 3 tasks.

--- a/model/lease.pml
+++ b/model/lease.pml
@@ -34,6 +34,11 @@
 #endif
 #define NA 2            /* agents, each with one endpoint */
 #define NOBODY 255
+#ifdef PROMPT_FRAMES     /* frames arrive at once or not at all */
+#define LAST_HEARD(a, e) stampHeard[PAIR(a, e)]
+#else
+#define LAST_HEARD(a, e) heardAt[PAIR(a, e)]
+#endif
 #define PAIR(a, e) ((a) * NE + (e))
 
 byte now = 1;
@@ -127,8 +132,12 @@
      if :: e = 0 :: e = NE - 1 fi;
      if
      /* A frame arrives at the entry, at once or late. */
+#ifdef PROMPT_FRAMES
+     :: up[a] && alive[e] && stampHeard[PAIR(a, e)] < now -> stampHeard[PAIR(a, e)] = now
+#else
      :: up[a] && alive[e] && stampHeard[PAIR(a, e)] < now -> stampHeard[PAIR(a, e)] = now; heardAt[PAIR(a, e)] = now
      :: up[a] && alive[e] && stampHeard[PAIR(a, e)] + 1 < now -> stampHeard[PAIR(a, e)] = now - 1; heardAt[PAIR(a, e)] = now
+#endif
      /* An echo arrives at the agent, also after its entry died. An older one than the latest would renew less. */
      :: up[a] && stampHeard[PAIR(a, e)] > 0 ->
 #ifndef NO_LAPSE_BEFORE_RENEWAL
@@ -173,7 +182,7 @@
      /* The agent is gone for all that the entry knows: by time, nothing of it runs. */
      :: alive[e] && sentTo[e] == a &&
 #ifndef NO_PROOF_BY_TIME
-        now > heardAt[PAIR(a, e)] + S + H &&
+        now > LAST_HEARD(a, e) + S + H &&
 #endif
         true ->
         sentTo[e] = NOBODY
--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -49,20 +49,18 @@
 const ECHO_PACE_MS = 80
 /** Scale of run times in the health records, which compare them with the expected ones. */
 const EXPECTED_SCALE_MS = 100
-/** A run this many times longer than expected is moved, if another endpoint has room. */
-const STRAGGLER_FACTOR = 2.5
+/** At an endpoint whose other runs are slow, too, a run this many times longer than usual is moved, if another has room. */
+const STRAGGLER_FACTOR = 2
+/** Elsewhere the job itself is likely to be long. */
+const LONE_STRAGGLER_FACTOR = 4
+/** An endpoint this much slower than expected is suspect. */
+const SUSPECT_SLOWNESS = 1.5
 /** Runs that are only this much longer than expected are not moved: moving costs a stop and a new start. */
 const STRAGGLER_MIN_MS = 150
 /** A process that has just started does not know its agents yet; after an outage of all they take about two seconds. */
 const JOIN_MS = 3000
 /** Pause before a task is sent again that an earlier entry's order still holds. */
 const DUPLICATE_PAUSE_MS = 150
-/** How long a run of the job may take before it counts as a straggler. */
-const stragglerMs = ({ expectedMs, longestRunMs }: LeasedJob): number => {
-  const usualMs = Math.max(expectedMs, longestRunMs)
-  return Math.max(STRAGGLER_FACTOR * usualMs, usualMs + STRAGGLER_MIN_MS)
-}
-
 /** Reasons after which the task itself was at fault, or its endpoint. */
 const COUNTED_REASONS: ReadonlySet<string> = new Set([REASONS.endpointError])
 
@@ -348,7 +346,7 @@
     for (const agent of this.fleet.agents.values()) {
       for (const { job, index, sentAt } of agent.sent.values()) {
         const task = job.tasks[index]!
-        if (job.end !== undefined || task.isMoving || task.avoid.size > 0 || now - sentAt < stragglerMs(job)) continue
+        if (job.end !== undefined || task.isMoving || task.avoid.size > 0 || now - sentAt < this.stragglerMs(job, agent)) continue
         if (this.fleet.choose(job, index, agent) === undefined) continue
         task.isMoving = true
         this.options.events.moved(job, index, agent.agentId, now - sentAt)
@@ -358,6 +356,13 @@
     }
   }
 
+  /** How long a run may take before it counts as a straggler. Callers' guesses are often several times too short. */
+  private stragglerMs ({ kind, expectedMs, longestRunMs }: LeasedJob, { slowness }: LeasedAgent): number {
+    const usualMs = Math.max(expectedMs, longestRunMs, this.runTimes.expect(kind, 0))
+    const factor = slowness >= SUSPECT_SLOWNESS ? STRAGGLER_FACTOR : LONE_STRAGGLER_FACTOR
+    return Math.max(factor * usualMs, usualMs + STRAGGLER_MIN_MS)
+  }
+
   private revoke (agent: LeasedAgent, { workspace, id }: LeasedJob, tasks: number[]): void {
     agent.link?.add((frame) => {
       frame.revokes.push(create(RevokeSchema, { workspace, submission: id, tasks }))
--- a/packages/coordination/tests/leased/leased.test.ts
+++ b/packages/coordination/tests/leased/leased.test.ts
@@ -166,6 +166,24 @@
     expect(overlaps(network.endpoints)).toEqual([])
   })
 
+  it('a job that is three times as long as its caller guessed is left where it runs', async () => {
+    const network = await started(1, 3)
+    for (const endpoint of network.endpoints) endpoint.runMs = 300
+    network.submit(0, 'j', 3, { estimateMs: 100 })
+    await network.advance(1500)
+    expect(network.ends.get('j')).toEqual({ type: 'complete' })
+    expect(runsOf(network)).toBe(3)
+  })
+
+  it('tasks at an endpoint that stands still are moved sooner than one alone', async () => {
+    const network = await started(1, 2)
+    network.endpoints[0]!.runMs = 60_000
+    network.submit(0, 'j', 2)
+    await network.advance(700)
+    expect(network.ends.get('j')).toEqual({ type: 'complete' })
+    expect(overlaps(network.endpoints)).toEqual([])
+  })
+
   it('what cannot be in time is refused at once, and nothing of it starts', async () => {
     const network = await started(1, 1)
     const objective = { stretch: 1.5, slackMs: 50, lateFactor: 3 }
--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -27,12 +27,16 @@
   wholeAnswer: { ...NOTHING, NA: 1, NT: 2, MAX_NONCE: 2, MAX_DEATHS: 1 },
   config: {},
   outageEnds: { N: 2, MAX_ENDS: 2 },
-  outageJoins: { N: 3, MAX_ENDS: 0 }
+  outageJoins: { N: 3, MAX_ENDS: 0 },
+  leaseAgentDies: { NE: 1, MAX_DEATHS: 1, MAX_LATE: 1 },
+  leaseLateOrders: { NE: 1, MAX_DEATHS: 0, MAX_LATE: 2 },
+  leaseEntryDies: { NE: 2, MAX_DEATHS: 0, MAX_LATE: 0 }
 }
 
 const SUBMISSION = 'model/submission.pml'
 const CONFIG = 'model/config.pml'
 const OUTAGE = 'model/outage.pml'
+const LEASE = 'model/lease.pml'
 
 const HOLDS = [
   { file: SUBMISSION, budget: 'claims', property: 'no task starts twice, "not run" is true, one final answer: claims with lost acknowledgements, late writes and a dead owner' },
@@ -44,7 +48,10 @@
   { file: SUBMISSION, budget: 'wholeAnswer', property: 'an answer is complete or failed, with two tasks' },
   { file: CONFIG, budget: 'config', property: 'what was accepted never reverts, in the table or at an entry; an operator is told the truth' },
   { file: OUTAGE, budget: 'outageEnds', property: '"not run" is true while the table is away: entries end, start again and join' },
-  { file: OUTAGE, budget: 'outageJoins', property: 'the same with three entries that join' }
+  { file: OUTAGE, budget: 'outageJoins', property: 'the same with three entries that join' },
+  { file: LEASE, budget: 'leaseAgentDies', property: 'no two runs of a task overlap: an agent that dies, or stands still, with an order that is carried out late' },
+  { file: LEASE, budget: 'leaseLateOrders', property: 'the same with two orders that are carried out late' },
+  { file: LEASE, budget: 'leaseEntryDies', property: 'the same with an entry that dies and a job that is sent again' }
 ]
 
 const FAILS = [
@@ -71,7 +78,17 @@
   { file: OUTAGE, budget: 'outageJoins', guard: 'NO_READ_AFTER_ROW', without: 'reading the rows after the own one stands' },
   { file: OUTAGE, budget: 'outageJoins', guard: 'NO_FRESH_VIEW', without: 'the bound on the view\'s age' },
   { file: OUTAGE, budget: 'outageJoins', guard: 'NO_ANNOUNCED_ONLY', without: 'being announced before saying "not run"' },
-  { file: OUTAGE, budget: 'outageJoins', guard: 'NO_VIEW_WITH_LIST', without: 'judging the view when the list of entries is taken from it' }
+  { file: OUTAGE, budget: 'outageJoins', guard: 'NO_VIEW_WITH_LIST', without: 'judging the view when the list of entries is taken from it' },
+  { file: LEASE, budget: 'leaseAgentDies', guard: 'NO_FENCE', without: 'the fence against an earlier agent\'s orders' },
+  { file: LEASE, budget: 'leaseAgentDies', guard: 'NO_JOIN', without: 'ending what an earlier agent left' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_LATE_CHECK', without: 'the endpoint\'s check of an order\'s end' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_STOP_PROOF', without: 'the stop that makes an unanswered order void' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_PROOF_BY_TIME', without: 'the wait until an agent\'s orders are over' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_START_CHECK', without: 'the agent\'s check of its authority before a start' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_ORDERED_STREAM', without: 'orders and echoes on one stream' },
+  { file: LEASE, budget: 'leaseEntryDies', guard: 'NO_ECHO_STAMP', without: 'counting authority from the stamp rather than from the echo' },
+  { file: LEASE, budget: 'leaseEntryDies', guard: 'NO_LAPSE_BEFORE_HOLD', without: 'stopping what has no authority before a hold' },
+  { file: LEASE, budget: 'leaseEntryDies', guard: 'NO_RESEND_GAP', without: 'the time before a caller sends again' }
 ]
 
 const hasSpin = () => {
