--- a/model/lease.pml
+++ b/model/lease.pml
@@ -34,6 +34,13 @@
 #endif
 #define NA 2            /* agents, each with one endpoint */
 #define NOBODY 255
+#ifdef OWN_AGENTS        /* each entry orders at an agent of its own; the second one's echoes reach both */
+#define MAY_ORDER(a, e) ((a) == (e))
+#define MAY_HEAR(a, e) ((a) <= (e))
+#else
+#define MAY_ORDER(a, e) true
+#define MAY_HEAR(a, e) true
+#endif
 #ifdef PROMPT_FRAMES     /* frames arrive at once or not at all */
 #define LAST_HEARD(a, e) stampHeard[PAIR(a, e)]
 #else
@@ -133,16 +140,14 @@
      if
      /* A frame arrives at the entry, at once or late. */
 #ifdef PROMPT_FRAMES
-     :: up[a] && alive[e] && stampHeard[PAIR(a, e)] < now -> stampHeard[PAIR(a, e)] = now
+     :: up[a] && alive[e] && MAY_HEAR(a, e) && stampHeard[PAIR(a, e)] < now -> stampHeard[PAIR(a, e)] = now
 #else
      :: up[a] && alive[e] && stampHeard[PAIR(a, e)] < now -> stampHeard[PAIR(a, e)] = now; heardAt[PAIR(a, e)] = now
      :: up[a] && alive[e] && stampHeard[PAIR(a, e)] + 1 < now -> stampHeard[PAIR(a, e)] = now - 1; heardAt[PAIR(a, e)] = now
 #endif
      /* An echo arrives at the agent, also after its entry died. An older one than the latest would renew less. */
      :: up[a] && stampHeard[PAIR(a, e)] > 0 ->
-#ifndef NO_LAPSE_BEFORE_RENEWAL
         lapse(a);
-#endif
 #ifndef NO_ORDERED_STREAM
         if
         :: ordered[PAIR(a, e)] -> renew(a, e, orderEcho[PAIR(a, e)])
@@ -152,7 +157,7 @@
         renew(a, e, stampHeard[PAIR(a, e)])
 #endif
      /* The entry orders a start, if none of its orders can run. */
-     :: alive[e] && owner == e && sentTo[e] == NOBODY && stampHeard[PAIR(a, e)] > 0 ->
+     :: alive[e] && owner == e && MAY_ORDER(a, e) && sentTo[e] == NOBODY && stampHeard[PAIR(a, e)] > 0 ->
         sentTo[e] = a;
         ordered[PAIR(a, e)] = true;
         orderEcho[PAIR(a, e)] = stampHeard[PAIR(a, e)]
--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -30,7 +30,7 @@
   outageJoins: { N: 3, MAX_ENDS: 0 },
   leaseAgentDies: { NE: 1, MAX_DEATHS: 1, MAX_LATE: 1 },
   leaseLateOrders: { NE: 1, MAX_DEATHS: 0, MAX_LATE: 2 },
-  leaseEntryDies: { NE: 2, MAX_DEATHS: 0, MAX_LATE: 0 }
+  leaseEntryDies: { NE: 2, MAX_DEATHS: 0, MAX_LATE: 0, PROMPT_FRAMES: true, OWN_AGENTS: true }
 }
 
 const SUBMISSION = 'model/submission.pml'
