--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -4,6 +4,7 @@
 import type { AgentFrame, EntryFrame, LeasedStart, Reason, Revoke, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
 import type { SessionHost, AddToFrame } from '../session/types.js'
 import { Mailboxes } from '../tasks/mailboxes.js'
+import { Authorities } from './authorities.js'
 import { ConfigCopy } from './configCopy.js'
 import { EndpointLife } from './endpointLife.js'
 import type { AttemptOver, HeldTask } from './endpointLife.js'
@@ -82,7 +83,7 @@
  */
 export class LeasedHost implements SessionHost {
   private readonly sessions = new Map<string, LeasedSession>()
-  private readonly authority = new Map<string, number>()
+  private readonly authorities: Authorities
   private readonly mailboxes: Mailboxes
   private readonly config = new ConfigCopy()
   private readonly turns: RoomTurns
@@ -96,6 +97,7 @@
 
   constructor (private readonly options: LeasedHostOptions) {
     this.mailboxes = new Mailboxes(options.clock.now)
+    this.authorities = new Authorities(options.clock, options.times.authorityMs, () => this.lapse())
     this.turns = new RoomTurns(options.clock.now)
     this.speed = new SpeedRecord(options.clock)
   }
@@ -187,7 +189,7 @@
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
     const session = this.sessions.get(incarnation)
     if (session?.add !== add) return
-    this.renew(incarnation, frame.echoStampMs)
+    this.authorities.renew(incarnation, frame.echoStampMs)
     this.mailboxes.acknowledge(incarnation, frame.ackedSeq)
     session.wantingPriority = frame.wantingPriority
     for (const revoke of frame.revokes) this.onRevoke(incarnation, revoke)
@@ -264,40 +266,14 @@
     if (next !== undefined && this.room.cpuMilli > 0) this.sessions.get(next)?.add(() => {})
   }
 
-  private hasAuthority (incarnation: string): boolean {
-    return this.options.clock.now() <= (this.authority.get(incarnation) ?? -Infinity)
-  }
-
-  private renew (incarnation: string, echoStampMs: number): void {
-    if (echoStampMs === 0) return
-    const until = echoStampMs + this.options.times.authorityMs
-    const before = this.authority.get(incarnation)
-    // Its runs of before the lapse are being stopped and must not be revived by a late echo.
-    if (before !== undefined && !this.hasAuthority(incarnation)) this.lapse()
-    if (until <= (before ?? 0)) return
-    this.authority.set(incarnation, until)
-    if (before === undefined) this.scheduleLapse(incarnation)
-  }
-
-  /** Looks again when the authority known now ends. */
-  private scheduleLapse (incarnation: string): void {
-    const until = this.authority.get(incarnation)
-    if (until === undefined) return
-    this.options.clock.after(Math.max(1, until + 1 - this.options.clock.now()), () => {
-      if (this.hasAuthority(incarnation)) return this.scheduleLapse(incarnation)
-      this.authority.delete(incarnation)
-      this.lapse()
-    })
-  }
-
   /** Stops what runs without authority. */
   private lapse (): void {
     for (const { owner, held, key } of this.running) {
-      if (held.stopReason !== undefined || this.hasAuthority(owner)) continue
+      if (held.stopReason !== undefined || this.authorities.has(owner)) continue
       this.options.log('authority_lapsed', { job: key.submission, task: key.task, entry: owner })
       this.life?.stop(held, REASONS.leaseExpired)
     }
-    this.refuseWaiting(({ owner }) => !this.hasAuthority(owner), REASONS.staleStart)
+    this.refuseWaiting(({ owner }) => !this.authorities.has(owner), REASONS.staleStart)
     this.mailboxes.sweep((incarnation) => this.sessions.has(incarnation), this.options.clock.now() - MAILBOX_MEMORY_MS)
   }
 
@@ -314,7 +290,7 @@
   }
 
   private refusalOf (owner: string, { submission, task }: TaskKey): Reason | undefined {
-    if (!this.hasAuthority(owner)) return REASONS.staleStart
+    if (!this.authorities.has(owner)) return REASONS.staleStart
     if (this.isLeaving || this.life?.takesStarts !== true) return REASONS.endpointGone
     const isHere = this.life.find(submission, task) !== undefined || this.waiting.some(({ key }) => key.submission === submission && key.task === task)
     return isHere ? REASONS.duplicateStart : undefined
