--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -51,8 +51,6 @@
   orderUnanswered: 'order_unanswered',
   /** The endpoint turned the start away. */
   endpointBusy: 'endpoint_busy',
-  /** A task ran far longer than its kind and was moved. */
-  straggler: 'straggler',
   // Jobs that are not kept
   notKept: 'not_kept',
   unsupported: 'unsupported',
