The test of the pages opens a connection of its own

Cause: the commands tested before it run by spawnSync and block the test's process for seconds on a busy machine; the server closes the kept-alive connection after 5 s, and the test's fetch used it before it could see that (UND_ERR_SOCKET, other side closed, on a connection that had been read from). Seen in three runs beside load (load average 19 to 30), every time in the whole file and never alone. Ruled out: reasons or metrics that the pages lack. The assertions are unchanged.

--- a/tests/commands.test.ts
+++ b/tests/commands.test.ts
@@ -5,6 +5,7 @@
 import { dirname, join } from 'node:path'
 import { REASONS } from '@hazellift/protocol'
 import { ADMIN_TOKEN, callerToken, operatorToken, startProgram } from '@hazellift/standins'
+import { Agent, request } from 'undici'
 import { expect, test } from 'vitest'
 import { useCluster } from './support.js'
 
@@ -107,6 +108,8 @@
   const api = readFileSync(new URL('../docs/API.md', import.meta.url), 'utf8')
   const operators = readFileSync(new URL('../docs/OPERATORS.md', import.meta.url), 'utf8')
   for (const reason of Object.values(REASONS)) expect(api).toContain(`\`${reason}\``)
-  const metrics = await (await fetch(`${cluster().apiUrl()}/metrics`)).text()
+  // The commands above block this process; a connection kept from before them may have been closed meanwhile.
+  const res = await request(`${cluster().apiUrl()}/metrics`, { dispatcher: new Agent() })
+  const metrics = await res.body.text()
   for (const [, name] of metrics.matchAll(/^# TYPE (hazellift_\S+)/gm)) expect(operators).toContain(`\`${name}\``)
 })
