--- a/packages/coordination/src/leased/endpointLife.ts
+++ b/packages/coordination/src/leased/endpointLife.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@hazellift/common'
 import { REASONS } from '@hazellift/protocol'
 import type { Reason } from '@hazellift/protocol'
+import { RunNumbers } from './runNumbers.js'
 import { lapsedMs } from './times.js'
 import type { LeaseTimes } from './times.js'
 import { RUN_ENDS } from './types.js'
@@ -65,7 +66,7 @@
  */
 export class EndpointLife {
   private readonly tasks = new Map<string, HeldTask>()
-  private readonly runNumbers = new Map<string, number>()
+  private readonly runNumbers = new RunNumbers()
   private lastSeen = 0
   private holds = 0
   private heldAt = -Infinity
@@ -139,7 +140,7 @@
   private async order (task: HeldTask): Promise<void> {
     const { clock, endpoint, times } = this.options
     for (let tries = 0; tries < MAX_NUMBER_TRIES; tries++) {
-      task.run = this.nextNumber(task, tries)
+      task.run = this.runNumbers.next(nameOf(task), tries)
       this.heldAt = clock.now()
       const outcome = await endpoint.start({ ...task, holdMs: times.holdMs })
       if (this.isEnded || !this.isHere(task)) return
@@ -157,13 +158,6 @@
     this.over(task, { type: 'not_started', reason: REASONS.endpointBusy })
   }
 
-  /** Numbers rise over the lives of agents, too: what an earlier one used is stepped over in growing steps. */
-  private nextNumber (task: HeldTask, tries: number): number {
-    const run = (this.runNumbers.get(nameOf(task)) ?? 0) + 2 ** tries
-    this.runNumbers.set(nameOf(task), run)
-    return run
-  }
-
   private settleUnknown (task: HeldTask): void {
     this.options.log('order_unanswered', { job: task.submission, task: task.index, run: task.run })
     task.stopReason ??= REASONS.orderUnanswered
