--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -45,6 +45,10 @@
 const log = createLogger('entry:session')
 const newFrame = (): EntryFrame => create(EntryFrameSchema)
 
+const closeIfSilent = ({ lastSeenAt, link }: Session<unknown>, timeoutMs: number): void => {
+  if (performance.now() - lastSeenAt > timeoutMs) link.close()
+}
+
 /**
  * The agents' side of an entry's server: one task a session.
  *
@@ -87,9 +91,7 @@
     }
     const session: Session<Agent> = { link, agent: undefined, lastSeenAt: performance.now(), ackedSeq: 0n }
     const keepAlive = startKeepAlive(options.keepAliveMs, () => link.add(() => {}))
-    const watchdog = setInterval(() => {
-      if (performance.now() - session.lastSeenAt > options.timeoutMs) link.close()
-    }, options.keepAliveMs)
+    const watchdog = setInterval(() => closeIfSilent(session, options.timeoutMs), options.keepAliveMs)
     context.signal.addEventListener('abort', link.close)
     void read(frames, session)
     try {
