Order of jobs: one that could only just be in time counts as late

Cause: over capacity, jobs are started at the last moment at which they seem to be in time.

Change: the latest start allows for 1.25 times the expected run of a task.

--- a/packages/coordination/src/leased/leasedQueue.ts
+++ b/packages/coordination/src/leased/leasedQueue.ts
@@ -1,7 +1,15 @@
 import type { LeasedJob } from './leasedJob.js'
 
+/**
+ * Time to allow for a job against the expected run of one task: its last task
+ * may run at a slow endpoint, or be a long one. Without it, jobs started at the
+ * last moment were late by a little, each at the price of the next: half of the
+ * late ones in a burst by less than a quarter.
+ */
+const RUN_ALLOWANCE = 1.25
+
 /** When a job must start to be in time. */
-export const latestStart = ({ dueAt, expectedMs }: LeasedJob): number => dueAt - expectedMs
+export const latestStart = ({ dueAt, expectedMs }: LeasedJob): number => dueAt - RUN_ALLOWANCE * expectedMs
 
 /**
  * Jobs of one service that have tasks to send: those that can still be in time
