--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -103,6 +103,11 @@
     return pending
   }
 
+  /** How long a task of such a job takes, as learned. */
+  expectedMs ({ kind, estimateMs }: Pick<LeasedJobSpec, 'kind' | 'estimateMs'>): number {
+    return this.runTimes.expect(kind, estimateMs)
+  }
+
   /** Agents with a session. */
   get connectedAgents (): number {
     let connected = 0
@@ -122,7 +127,7 @@
    */
   submit (spec: LeasedJobSpec, onEnd: (end: LeasedJobEnd) => void): LeasedJob {
     const { clock } = this.options
-    const job = createLeasedJob(spec, clock.now(), this.runTimes.expect(spec.kind, spec.estimateMs), onEnd)
+    const job = createLeasedJob(spec, clock.now(), this.expectedMs(spec), onEnd)
     const refusal = this.isJoining ? undefined : findRefusal(job, this.fleet, this.options.entryCount())
     if (refusal !== undefined) {
       this.finish(job, refusal)
