--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -1,16 +1,18 @@
 import { create } from '@bufbuild/protobuf'
-import { LeasedStartSchema, LeasedTaskSchema, REASONS, RevokeSchema, RoomSchema, TASK_OUTCOMES, TaskKeySchema } from '@hazellift/protocol'
+import { REASONS, RevokeSchema, TASK_OUTCOMES } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame, Hello, Reason, TaskResult } from '@hazellift/protocol'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { taskKey } from '../tasks/keys.js'
 import { ConfigCopy } from './configCopy.js'
+import { findStragglers } from './findStragglers.js'
 import { findRefusal, overload } from './leasedAdmission.js'
 import { LeasedAgent } from './leasedAgent.js'
 import type { SentRun } from './leasedAgent.js'
 import { LeasedFleet } from './leasedFleet.js'
-import type { LeasedFleetOptions, LeasedService } from './leasedFleet.js'
+import type { LeasedFleetOptions } from './leasedFleet.js'
 import { LEASED_TASK_STATES, createLeasedJob } from './leasedJob.js'
 import type { LeasedJob, LeasedJobEnd, LeasedJobSpec } from './leasedJob.js'
+import { LeasedSender } from './leasedSender.js'
 import { RunTimes } from './runTimes.js'
 import { provedOverMs } from './times.js'
 import type { LeaseTimes } from './times.js'
@@ -43,20 +45,10 @@
   defer: (fn: () => void) => void
 }
 
-/** How long a start may wait at its agent for room that other entries' tasks took meanwhile. */
-const AGENT_WAIT_MS = 20
 /** Frames of an agent are echoed no more often than this; at most so long and a keep-alive lie between two echoes. */
 const ECHO_PACE_MS = 140
 /** Scale of run times in the health records, which compare them with the expected ones. */
 const EXPECTED_SCALE_MS = 100
-/** At an endpoint whose other runs are slow, too, a run this many times longer than usual is moved, if another has room. */
-const STRAGGLER_FACTOR = 2
-/** Elsewhere the job itself is likely to be long. */
-const LONE_STRAGGLER_FACTOR = 4
-/** An endpoint this much slower than expected is suspect. */
-const SUSPECT_SLOWNESS = 1.5
-/** Runs that are only this much longer than expected are not moved: moving costs a stop and a new start. */
-const STRAGGLER_MIN_MS = 150
 /** A process that has just started does not know its agents yet; after an outage of all they take about two seconds. */
 const JOIN_MS = 3000
 /** Pause before a task is sent again that an earlier entry's order still holds. */
@@ -74,6 +66,7 @@
  */
 export class LeasedDispatcher implements SessionDispatcher<LeasedAgent> {
   private readonly fleet: LeasedFleet
+  private readonly sender: LeasedSender
   /** Processes of agents that another one has replaced, until their orders are over. */
   private readonly replaced = new Set<LeasedAgent>()
   private readonly jobs = new Map<string, LeasedJob>()
@@ -84,6 +77,7 @@
 
   constructor (private readonly options: LeasedDispatcherOptions) {
     this.fleet = new LeasedFleet(options)
+    this.sender = new LeasedSender({ ...options, fleet: this.fleet, onSent: options.events.sent })
     this.startedAt = options.clock.now()
   }
 
@@ -135,7 +129,7 @@
     }
     this.jobs.set(job.key, job)
     this.fleet.serviceOf(job.service).queue.add(job)
-    this.schedulePump(job.service)
+    this.sender.schedule(job.service)
     return job
   }
 
@@ -151,7 +145,7 @@
     for (const agent of [...this.fleet.agents.values(), ...this.replaced]) this.checkLost(agent, now)
     for (const job of [...this.jobs.values()]) this.checkTimes(job, now)
     this.moveStragglers(now)
-    for (const service of this.fleet.services.keys()) this.schedulePump(service)
+    this.sender.scheduleAll()
   }
 
   /** A configuration document came into force here; agents keep it for other entries. */
@@ -198,7 +192,7 @@
     for (const result of frame.results) this.onResult(agent, result)
     if (frame.room !== undefined) agent.setRoom(frame.room)
     if (this.owesFrame(agent, now)) link.add(() => {})
-    if (agent.service !== '') this.schedulePump(agent.service)
+    if (agent.service !== '') this.sender.schedule(agent.service)
   }
 
   /**
@@ -317,7 +311,7 @@
     this.options.events.requeued(job, index, agent.agentId, reason)
     job.queue.push(index)
     this.fleet.serviceOf(job.service).queue.add(job)
-    this.schedulePump(job.service)
+    this.sender.schedule(job.service)
   }
 
   private replace (agent: LeasedAgent): void {
@@ -357,26 +351,14 @@
 
   /** Stops runs that take far longer than others of their kind, so that they can run elsewhere. */
   private moveStragglers (now: number): void {
-    for (const agent of this.fleet.agents.values()) {
-      for (const { job, index, sentAt } of agent.sent.values()) {
-        const task = job.tasks[index]!
-        if (job.end !== undefined || task.isMoving || task.avoid.size > 0 || now - sentAt < this.stragglerMs(job, agent)) continue
-        if (this.fleet.choose(job, index, agent) === undefined) continue
-        task.isMoving = true
-        this.options.events.moved(job, index, agent.agentId, now - sentAt)
-        this.fleet.healthOf(agent)?.failed(agent.agentId)
-        this.revoke(agent, job, [index])
-      }
+    for (const { agent, job, index, sentAt } of findStragglers(this.fleet, this.runTimes, now)) {
+      job.tasks[index]!.isMoving = true
+      this.options.events.moved(job, index, agent.agentId, now - sentAt)
+      this.fleet.healthOf(agent)?.failed(agent.agentId)
+      this.revoke(agent, job, [index])
     }
   }
 
-  /** How long a run may take before it counts as a straggler. Callers' guesses are often several times too short. */
-  private stragglerMs ({ kind, expectedMs, longestRunMs }: LeasedJob, { slowness }: LeasedAgent): number {
-    const usualMs = Math.max(expectedMs, longestRunMs, this.runTimes.expect(kind, 0))
-    const factor = slowness >= SUSPECT_SLOWNESS ? STRAGGLER_FACTOR : LONE_STRAGGLER_FACTOR
-    return Math.max(factor * usualMs, usualMs + STRAGGLER_MIN_MS)
-  }
-
   private revoke (agent: LeasedAgent, { workspace, id }: LeasedJob, tasks: number[]): void {
     agent.link?.add((frame) => {
       frame.revokes.push(create(RevokeSchema, { workspace, submission: id, tasks }))
@@ -407,66 +389,4 @@
     job.onOver?.()
     job.onOver = undefined
   }
-
-  private schedulePump (name: string): void {
-    const service = this.fleet.serviceOf(name)
-    if (service.isPumpDue || service.queue.size === 0) return
-    service.isPumpDue = true
-    this.options.defer(() => {
-      service.isPumpDue = false
-      this.pump(name, service)
-    })
-  }
-
-  private pump (name: string, { queue }: LeasedService): void {
-    for (const job of queue.inOrder(this.options.clock.now())) {
-      if (!this.place(job)) return this.askForRoom(name)
-      queue.remove(job)
-    }
-  }
-
-  /** Agents that do not know yet that tasks wait here are told at once. */
-  private askForRoom (service: string): void {
-    for (const agent of this.fleet.agentsOf(service)) if (!agent.knowsWanting) agent.link?.add(() => {})
-  }
-
-  /**
-   * Sends as many tasks of the job as there is room for.
-   *
-   * @returns false if some are left
-   */
-  private place (job: LeasedJob): boolean {
-    const placed = new Map<LeasedAgent, number[]>()
-    while (job.queue.length > 0) {
-      const index = job.queue.at(-1)!
-      const agent = this.fleet.choose(job, index)
-      if (agent === undefined) break
-      job.queue.pop()
-      agent.reserve(job.need)
-      placed.set(agent, [...placed.get(agent) ?? [], index])
-    }
-    for (const [agent, indexes] of placed) this.send(agent, job, indexes)
-    return job.queue.length === 0
-  }
-
-  private send (agent: LeasedAgent, job: LeasedJob, indexes: number[]): void {
-    const now = this.options.clock.now()
-    const { workspace, id, payload, need } = job
-    const { health } = this.fleet.serviceOf(job.service)
-    for (const index of indexes) {
-      const task = job.tasks[index]!
-      const key = taskKey(create(TaskKeySchema, { workspace, submission: id, task: index, attempt: task.attempt }))
-      task.state = LEASED_TASK_STATES.sent
-      job.unproved++
-      job.mayHaveRun++
-      agent.sent.set(key, { job, index, attempt: task.attempt, sentAt: now })
-      health.sent(agent.agentId)
-    }
-    const tasks = indexes.map((index) => create(LeasedTaskSchema, { index, attempt: job.tasks[index]!.attempt }))
-    const start = create(LeasedStartSchema, {
-      workspace, submission: id, payload, tasks, need: create(RoomSchema, need), waitMs: AGENT_WAIT_MS, expectedMs: Math.round(job.expectedMs)
-    })
-    this.options.events.sent(job, agent.agentId, indexes, agent.room)
-    agent.link!.add((frame) => { frame.leasedStarts.push(start) })
-  }
 }
--- /dev/null
+++ b/packages/coordination/src/leased/leasedSender.ts
@@ -0,0 +1,99 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock } from '@hazellift/common'
+import { LeasedStartSchema, LeasedTaskSchema, RoomSchema, TaskKeySchema } from '@hazellift/protocol'
+import { taskKey } from '../tasks/keys.js'
+import type { LeasedAgent } from './leasedAgent.js'
+import type { LeasedFleet, LeasedService } from './leasedFleet.js'
+import { LEASED_TASK_STATES } from './leasedJob.js'
+import type { LeasedJob } from './leasedJob.js'
+import type { Resources } from './types.js'
+
+/** What sending needs. */
+export interface LeasedSenderOptions {
+  clock: Clock
+  fleet: LeasedFleet
+  /** Runs `fn` after the events that are ready now. */
+  defer: (fn: () => void) => void
+  /** Starts went out. */
+  onSent: (job: LeasedJob, agentId: string, tasks: number[], room: Resources) => void
+}
+
+/** How long a start may wait at its agent for room that other entries' tasks took meanwhile. */
+const AGENT_WAIT_MS = 20
+
+/** Sends what waits at an entry to agents that have told room, in the queue's order. */
+export class LeasedSender {
+  constructor (private readonly options: LeasedSenderOptions) {}
+
+  /** Looks at a service's queue soon, once for whatever changes until then. */
+  schedule (name: string): void {
+    const { fleet, defer } = this.options
+    const service = fleet.serviceOf(name)
+    if (service.isPumpDue || service.queue.size === 0) return
+    service.isPumpDue = true
+    defer(() => {
+      service.isPumpDue = false
+      this.pump(name, service)
+    })
+  }
+
+  /** The same for all services. */
+  scheduleAll (): void {
+    for (const service of this.options.fleet.services.keys()) this.schedule(service)
+  }
+
+  private pump (name: string, { queue }: LeasedService): void {
+    for (const job of queue.inOrder(this.options.clock.now())) {
+      if (!this.place(job)) return this.askForRoom(name)
+      queue.remove(job)
+    }
+  }
+
+  /** Agents that do not know yet that tasks wait here are told at once. */
+  private askForRoom (service: string): void {
+    for (const agent of this.options.fleet.agentsOf(service)) if (!agent.knowsWanting) agent.link?.add(() => {})
+  }
+
+  /**
+   * Sends as many tasks of the job as there is room for.
+   *
+   * @returns false if some are left
+   */
+  private place (job: LeasedJob): boolean {
+    const placed = new Map<LeasedAgent, number[]>()
+    while (job.queue.length > 0) {
+      const index = job.queue.at(-1)!
+      const agent = this.options.fleet.choose(job, index)
+      if (agent === undefined) break
+      job.queue.pop()
+      agent.reserve(job.need)
+      placed.set(agent, [...placed.get(agent) ?? [], index])
+    }
+    for (const [agent, indexes] of placed) this.send(agent, job, indexes)
+    return job.queue.length === 0
+  }
+
+  private send (agent: LeasedAgent, job: LeasedJob, indexes: number[]): void {
+    for (const index of indexes) this.record(agent, job, index)
+    const { workspace, id, payload, need } = job
+    const tasks = indexes.map((index) => create(LeasedTaskSchema, { index, attempt: job.tasks[index]!.attempt }))
+    const start = create(LeasedStartSchema, {
+      workspace, submission: id, payload, tasks, need: create(RoomSchema, need), waitMs: AGENT_WAIT_MS, expectedMs: Math.round(job.expectedMs)
+    })
+    this.options.onSent(job, agent.agentId, indexes, agent.room)
+    agent.link!.add((frame) => { frame.leasedStarts.push(start) })
+  }
+
+  /** From now on the task may run there. */
+  private record (agent: LeasedAgent, job: LeasedJob, index: number): void {
+    const { clock, fleet } = this.options
+    const task = job.tasks[index]!
+    const { workspace, id } = job
+    const key = taskKey(create(TaskKeySchema, { workspace, submission: id, task: index, attempt: task.attempt }))
+    task.state = LEASED_TASK_STATES.sent
+    job.unproved++
+    job.mayHaveRun++
+    agent.sent.set(key, { job, index, attempt: task.attempt, sentAt: clock.now() })
+    fleet.healthOf(agent)?.sent(agent.agentId)
+  }
+}
