Agent's side of jobs that are not kept: waiting starts and the description of ends in files of their own

leasedHost.ts held 372 lines with three jobs: sessions and authority, a queue of starts, and the wording of results. WaitingStarts and describeEnd are moved out as they were; 349 lines are left.

--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -6,14 +6,16 @@
 import { Mailboxes } from '../tasks/mailboxes.js'
 import { Authorities } from './authorities.js'
 import { ConfigCopy } from './configCopy.js'
+import { describeEnd } from './describeEnd.js'
 import { EndpointLife } from './endpointLife.js'
 import type { AttemptOver, HeldTask } from './endpointLife.js'
 import { OFFER_MS, RoomTurns } from './roomTurns.js'
 import type { WantingEntry } from './roomTurns.js'
 import { SpeedRecord } from './speedRecord.js'
 import type { LeaseTimes } from './times.js'
-import { RUN_ENDS, fits } from './types.js'
 import type { LeasedEndpoint, Resources } from './types.js'
+import { WaitingStarts } from './waitingStarts.js'
+import type { WaitingStart } from './waitingStarts.js'
 
 type LogFields = Record<string, string | number | boolean | undefined>
 
@@ -48,16 +50,6 @@
   toldStartsSeen: number
 }
 
-/** A start that waits here for room. */
-interface WaitingTask {
-  owner: string
-  key: TaskKey
-  payload: string
-  need: Resources
-  until: number
-  expectedMs: number
-}
-
 interface RunningTask {
   owner: string
   key: TaskKey
@@ -69,13 +61,6 @@
 /** Results of entries that never came back are dropped after this time. */
 const MAILBOX_MEMORY_MS = 30_000
 
-/** Why an attempt was lost or ended without success, as results tell it. */
-const REASON_OF_END = {
-  [RUN_ENDS.failed]: REASONS.endpointError,
-  [RUN_ENDS.stopped]: REASONS.revoked,
-  [RUN_ENDS.lapsed]: REASONS.leaseExpired
-} as const
-
 /**
  * An agent's side of jobs that are not kept. It runs tasks of an entry only
  * under authority that the entry renews by echoing the agent's own clock; when
@@ -89,7 +74,7 @@
   private readonly turns: RoomTurns
   private speed: SpeedRecord
   private running: RunningTask[] = []
-  private waiting: WaitingTask[] = []
+  private readonly waiting = new WaitingStarts()
   private life: EndpointLife | undefined
   private announced: AnnouncedLife | undefined
   private isStopping = false
@@ -104,7 +89,7 @@
 
   /** Tasks that run or wait here. */
   get busy (): number {
-    return this.running.length + this.waiting.length
+    return this.running.length + this.waiting.size
   }
 
   /** Results that no entry has acknowledged yet. */
@@ -228,12 +213,7 @@
 
   private get room (): Resources {
     if (this.isLeaving || this.life === undefined) return NO_ROOM
-    const room = { ...this.life.room }
-    for (const { need } of this.waiting) {
-      room.cpuMilli = Math.max(0, room.cpuMilli - need.cpuMilli)
-      room.memoryMb = Math.max(0, room.memoryMb - need.memoryMb)
-    }
-    return room
+    return this.waiting.roomBehind(this.life.room)
   }
 
   private roomFor (incarnation: string): Resources {
@@ -282,25 +262,27 @@
     for (const { index, attempt } of tasks) {
       const key = create(TaskKeySchema, { workspace, submission, task: index, attempt })
       const refusal = this.refusalOf(owner, key)
-      if (refusal === undefined) this.waiting.push({ owner, key, payload, need: need ?? NO_ROOM, until, expectedMs })
+      if (refusal === undefined) this.waiting.add({ owner, key, payload, need: need ?? NO_ROOM, until, expectedMs })
       else this.tell(owner, key, TASK_OUTCOMES.notStarted, refusal)
     }
     this.startWaiting()
-    if (this.waiting.length > 0) this.options.clock.after(waitMs, () => this.expireWaiting())
+    if (this.waiting.size > 0) this.options.clock.after(waitMs, () => this.expireWaiting())
   }
 
-  private refusalOf (owner: string, { submission, task }: TaskKey): Reason | undefined {
+  private refusalOf (owner: string, key: TaskKey): Reason | undefined {
     if (!this.authorities.has(owner)) return REASONS.staleStart
     if (this.isLeaving || this.life?.takesStarts !== true) return REASONS.endpointGone
-    const isHere = this.life.find(submission, task) !== undefined || this.waiting.some(({ key }) => key.submission === submission && key.task === task)
+    const isHere = this.life.find(key.submission, key.task) !== undefined || this.waiting.has(key)
     return isHere ? REASONS.duplicateStart : undefined
   }
 
   private startWaiting (): void {
-    while (this.waiting.length > 0 && this.life !== undefined && fits(this.waiting[0]!.need, this.life.room)) this.run(this.life, this.waiting.shift()!)
+    const { life } = this
+    if (life === undefined) return
+    for (let start = this.waiting.takeFirst(life.room); start !== undefined; start = this.waiting.takeFirst(life.room)) this.run(life, start)
   }
 
-  private run (life: EndpointLife, { owner, key, payload, need, expectedMs }: WaitingTask): void {
+  private run (life: EndpointLife, { owner, key, payload, need, expectedMs }: WaitingStart): void {
     const held = life.start(key.submission, key.task, payload, need, (over) => this.onOver(running, over))
     const running: RunningTask = { owner, key, held, expectedMs }
     this.running.push(running)
@@ -310,11 +292,9 @@
     this.running = this.running.filter((other) => other !== running)
     const { owner, key, held, expectedMs } = running
     const runMs = Math.round(this.options.clock.now() - held.startedAt)
-    if (over.type === 'not_started') return this.tell(owner, key, TASK_OUTCOMES.notStarted, over.reason)
-    if (over.type === 'lost') return this.tell(owner, key, TASK_OUTCOMES.failed, over.reason, runMs)
-    if (over.how === RUN_ENDS.done) this.speed.observe(runMs, expectedMs)
-    if (over.how === RUN_ENDS.done) return this.tell(owner, key, TASK_OUTCOMES.done, '', runMs)
-    this.tell(owner, key, TASK_OUTCOMES.failed, REASON_OF_END[over.how], runMs)
+    const { outcome, reason, hasRun } = describeEnd(over)
+    if (outcome === TASK_OUTCOMES.done) this.speed.observe(runMs, expectedMs)
+    this.tell(owner, key, outcome, reason, hasRun ? runMs : 0)
   }
 
   private expireWaiting (): void {
@@ -322,11 +302,8 @@
     this.refuseWaiting(({ until }) => until <= now, REASONS.noSlot)
   }
 
-  private refuseWaiting (isRefused: (task: WaitingTask) => boolean, reason: Reason): void {
-    const refused = this.waiting.filter(isRefused)
-    if (refused.length === 0) return
-    this.waiting = this.waiting.filter((task) => !isRefused(task))
-    for (const { owner, key } of refused) this.tell(owner, key, TASK_OUTCOMES.notStarted, reason)
+  private refuseWaiting (isRefused: (start: WaitingStart) => boolean, reason: Reason): void {
+    for (const { owner, key } of this.waiting.takeOut(isRefused)) this.tell(owner, key, TASK_OUTCOMES.notStarted, reason)
   }
 
   private onRevoke (incarnation: string, { submission, tasks }: Revoke): void {
