--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -12,6 +12,10 @@
   sever: () => void
   /** Holds back everything that arrives, as a network that loses packets does, until `heal`. */
   freeze: () => void
+  /** Holds back what the target sends, while what is sent to it passes, until `heal`. */
+  holdAnswers: () => void
+  /** Passes everything on so much later; 0 is at once. */
+  delay: (ms: number) => void
   heal: () => void
   /** Bytes passed on so far, both ways. */
   bytes: () => number
@@ -29,6 +33,8 @@
   let bytes = 0
   let severed = false
   let frozen = false
+  let delayMs = 0
+  let held: Array<() => void> | undefined
 
   const keep = (socket: Socket): void => {
     sockets.add(socket)
@@ -42,12 +48,17 @@
     const onward = connect(Number(port), host)
     keep(from)
     keep(onward)
-    const pass = (to: Socket) => (chunk: Buffer): void => {
-      bytes += chunk.length
-      to.write(chunk)
+    const pass = (to: Socket, isAnswer: boolean) => (chunk: Buffer): void => {
+      const write = (): void => {
+        bytes += chunk.length
+        to.write(chunk)
+      }
+      if (isAnswer && held !== undefined) held.push(write)
+      else if (delayMs > 0) setTimeout(write, delayMs)
+      else write()
     }
-    from.on('data', pass(onward))
-    onward.on('data', pass(from))
+    from.on('data', pass(onward, false))
+    onward.on('data', pass(from, true))
     from.on('close', () => onward.destroy())
     onward.on('close', () => from.destroy())
     if (!frozen) return
@@ -74,9 +85,14 @@
       frozen = true
       for (const socket of sockets) socket.pause()
     },
+    holdAnswers: () => { held ??= [] },
+    delay: (ms) => { delayMs = ms },
     heal: () => {
       severed = false
       frozen = false
+      delayMs = 0
+      for (const write of held?.splice(0) ?? []) write()
+      held = undefined
       for (const socket of sockets) socket.resume()
     },
     bytes: () => bytes,
--- a/scripts/bundlePlatform.js
+++ b/scripts/bundlePlatform.js
@@ -1,20 +1,4 @@
-// Bundles the two roles of the deploy file into target/, one file each: a
-// process that loads one file starts several times faster than one that loads
-// hundreds, and a machine pays for its start.
-import { build } from 'esbuild'
+// Bundles the roles where the deploy file looks for them, or where the first argument says.
+import { bundleRoles } from './bundleRoles.js'
 
-await build({
-  entryPoints: { entry: 'platform/src/entry/main.ts', agent: 'platform/src/agent/main.ts' },
-  outdir: 'target',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  outExtension: { '.js': '.mjs' },
-  conditions: ['source'],
-  sourcemap: 'linked',
-  alias: { undici: './scripts/undiciPool.js' },
-  legalComments: 'none',
-  // Some libraries are CommonJS and ask for Node.js's own modules by require.
-  banner: { js: 'import { createRequire } from \'node:module\'; const require = createRequire(import.meta.url);' }
-})
+await bundleRoles(process.argv[2] ?? 'target')
