--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -22,6 +22,31 @@
   close: () => void
 }
 
+/** What becomes of bytes that pass. */
+interface Passage {
+  /** Passed on so far. */
+  bytes: number
+  delayMs: number
+  /** What the target has sent, while it is held back. */
+  held: Array<() => void> | undefined
+}
+
+const passTo = (to: Socket, passage: Passage, isAnswer: boolean) => (chunk: Buffer): void => {
+  const write = (): void => {
+    passage.bytes += chunk.length
+    to.write(chunk)
+  }
+  if (isAnswer && passage.held !== undefined) passage.held.push(write)
+  else if (passage.delayMs > 0) setTimeout(write, passage.delayMs)
+  else write()
+}
+
+const healPassage = (passage: Passage): void => {
+  passage.delayMs = 0
+  for (const write of passage.held ?? []) write()
+  passage.held = undefined
+}
+
 /**
  * Starts a relay on loopback.
  *
@@ -30,11 +55,9 @@
 export const startRelay = async (target = ''): Promise<Relay> => {
   const sockets = new Set<Socket>()
   let to = target
-  let bytes = 0
+  const passage: Passage = { bytes: 0, delayMs: 0, held: undefined }
   let severed = false
   let frozen = false
-  let delayMs = 0
-  let held: Array<() => void> | undefined
 
   const keep = (socket: Socket): void => {
     sockets.add(socket)
@@ -48,17 +71,8 @@
     const onward = connect(Number(port), host)
     keep(from)
     keep(onward)
-    const pass = (to: Socket, isAnswer: boolean) => (chunk: Buffer): void => {
-      const write = (): void => {
-        bytes += chunk.length
-        to.write(chunk)
-      }
-      if (isAnswer && held !== undefined) held.push(write)
-      else if (delayMs > 0) setTimeout(write, delayMs)
-      else write()
-    }
-    from.on('data', pass(onward, false))
-    onward.on('data', pass(from, true))
+    from.on('data', passTo(onward, passage, false))
+    onward.on('data', passTo(from, passage, true))
     from.on('close', () => onward.destroy())
     onward.on('close', () => from.destroy())
     if (!frozen) return
@@ -85,17 +99,15 @@
       frozen = true
       for (const socket of sockets) socket.pause()
     },
-    holdAnswers: () => { held ??= [] },
-    delay: (ms) => { delayMs = ms },
+    holdAnswers: () => { passage.held ??= [] },
+    delay: (ms) => { passage.delayMs = ms },
     heal: () => {
       severed = false
       frozen = false
-      delayMs = 0
-      for (const write of held?.splice(0) ?? []) write()
-      held = undefined
+      healPassage(passage)
       for (const socket of sockets) socket.resume()
     },
-    bytes: () => bytes,
+    bytes: () => passage.bytes,
     close: () => {
       cut()
       server.close()
