An endpoint that fell silent and has answered again gets work again

Ruled out: the choice of agents and the turns of room (no start left the entries, all agents told no room); sessions (all open).

Change: an endpoint that is silent is looked at until it answers, tasks or not.

--- a/packages/coordination/src/leased/endpointLife.ts
+++ b/packages/coordination/src/leased/endpointLife.ts
@@ -180,7 +180,8 @@
   private async holdOn (): Promise<void> {
     await this.join()
     while (!this.isEnded) {
-      if (this.tasks.size === 0) await this.untilBusy()
+      // An endpoint that has fallen silent gets no start, so it must be looked at until it answers again.
+      if (this.tasks.size === 0 && !this.isSilent) await this.untilBusy()
       else await this.holdOnce()
     }
   }
--- a/packages/coordination/tests/leased/leased.test.ts
+++ b/packages/coordination/tests/leased/leased.test.ts
@@ -159,6 +159,22 @@
     for (const endpoint of network.endpoints) expect(endpoint.mostCpu).toBeLessThanOrEqual(CAPACITY.cpuMilli)
   })
 
+  const silences: Array<{ name: string, call: 'start' | 'stop' | 'hold' | 'all' }> = [
+    { name: 'no hold', call: 'hold' }, { name: 'no start', call: 'start' }, { name: 'no call at all', call: 'all' }
+  ]
+  it.each(silences)('an endpoint that answered $name for a while is used again', async ({ call }) => {
+    const network = await started(1, 1)
+    const endpoint = network.endpoints[0]!
+    endpoint.fault = (name) => call === 'all' || name === call ? 'lost' : 'none'
+    network.submit(0, 'before', 2, { deadlineMs: 2000 })
+    await network.advance(4000)
+    endpoint.fault = () => 'none'
+    await network.advance(500)
+    network.submit(0, 'after', 2)
+    await network.advance(1000)
+    expect(network.ends.get('after')).toEqual({ type: 'complete' })
+  })
+
   it('a job whose caller left may run again once nothing of it runs', async () => {
     const network = await started(1, 2)
     for (const endpoint of network.endpoints) endpoint.runMs = 400
