An agent's room is kept instead of summed up at every look

Cause: on the grown site's weak entries the choice of an agent looks at 62 of them for each task, and summed up the starts on their way anew up to four times for each. Over capacity it does so for nothing, as most have no room.

Change: the room left is kept beside what was told; what has no room is passed over first. No change of behaviour; the 171 tests of the coordination parts and the whole path pass.

--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -14,6 +14,9 @@
 
 const NO_ROOM: Resources = { cpuMilli: 0, memoryMb: 0 }
 
+const subtract = (room: Resources, need: Resources): Resources =>
+  ({ cpuMilli: room.cpuMilli - need.cpuMilli, memoryMb: room.memoryMb - need.memoryMb })
+
 /** What an entry knows of one process of an agent, and what it has ordered there. */
 export class LeasedAgent {
   readonly agentId: string
@@ -43,6 +46,8 @@
   private startsSeen = 0
   /** Needs of the starts sent on this session, those that the told room does not reflect yet last. */
   private unseen: Resources[] = []
+  /** The told room less these; read for every agent at each choice, so it is kept. */
+  private left = NO_ROOM
 
   constructor ({ agentId, incarnation, zone }: Hello) {
     this.agentId = agentId
@@ -52,10 +57,7 @@
 
   /** What can be sent on top of everything sent before. */
   get room (): Resources {
-    return this.unseen.reduce((room, need) => ({
-      cpuMilli: room.cpuMilli - need.cpuMilli,
-      memoryMb: room.memoryMb - need.memoryMb
-    }), this.told)
+    return this.left
   }
 
   /** True if the task fits into what the agent told last. */
@@ -73,6 +75,7 @@
     this.told = NO_ROOM
     this.startsSeen = 0
     this.unseen = []
+    this.left = NO_ROOM
   }
 
   /** The agent told its room. */
@@ -80,17 +83,21 @@
     this.unseen.splice(0, startsSeen - this.startsSeen)
     this.startsSeen = startsSeen
     this.told = { cpuMilli, memoryMb }
+    this.left = this.unseen.reduce(subtract, this.told)
   }
 
   setEndpoint ({ service, incarnation, capacity }: EndpointState): void {
     this.service = service
     this.endpoint = incarnation
     this.capacity = capacity ?? NO_ROOM
-    if (service === '') this.told = NO_ROOM
+    if (service !== '') return
+    this.told = NO_ROOM
+    this.left = NO_ROOM
   }
 
   /** A start was sent. */
   reserve (need: Resources): void {
     this.unseen.push(need)
+    this.left = subtract(this.left, need)
   }
 }
--- a/packages/coordination/src/leased/leasedFleet.ts
+++ b/packages/coordination/src/leased/leasedFleet.ts
@@ -110,12 +110,14 @@
 
   /** How long the task would take there, with what it costs to get there; unset if it cannot go there. */
   private timeAt (agent: LeasedAgent, job: LeasedJob, index: number): number | undefined {
+    // First what most agents fail over capacity.
+    if (!agent.hasRoomFor(job.need)) return undefined
     const { zone, clock } = this.options
     const now = clock.now()
     // A last place is offered to one entry at a time, for a moment.
-    if (isTight(agent, job) && now - agent.heardAt > OFFER_MS) return undefined
-    const isUsable = agent.service === job.service && agent.link !== undefined && agent.isResumed && !agent.isLeaving &&
-      agent.heardAt >= now - QUIET_MS && agent.hasRoomFor(job.need) && this.healthOf(agent)?.maySend(agent.agentId) === true
+    const freshForMs = isTight(agent, job) ? OFFER_MS : QUIET_MS
+    const isUsable = now - agent.heardAt <= freshForMs && agent.service === job.service && agent.link !== undefined &&
+      agent.isResumed && !agent.isLeaving && this.healthOf(agent)?.maySend(agent.agentId) === true
     if (!isUsable) return undefined
     const runMs = job.expectedMs * (agent.slowness < NOTABLE_SLOWNESS ? 1 : agent.slowness)
     // Waiting for another endpoint is better than a place where the answer comes too late.
