--- a/packages/coordination/src/leased/leasedFleet.ts
+++ b/packages/coordination/src/leased/leasedFleet.ts
@@ -89,8 +89,8 @@
   /**
    * The agent where the task would end soonest, among those with room. Where
    * several are alike, the one with more room of two drawn at random: entries
-   * that all took the first one found it full when their starts arrived, four
-   * times in ten with ten entries.
+   * that all took the first one found it full when their starts arrived, three
+   * times in ten with ten entries at 62 agents.
    *
    * @param near - taken if it is one of those alike and will have room left, as starts that travel together cost one message
    */
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -233,8 +233,8 @@
 
   /**
    * Entries that were told of much room, and would send for it, hear at once
-   * when it is nearly used up. Left to the next keep-alive, four of ten starts
-   * of ten entries arrived in vain.
+   * when it is nearly used up. Left to the next keep-alive, three of ten starts
+   * of ten entries at 62 agents arrived in vain.
    */
   private tellScarcity (): void {
     const { room, announced } = this
--- a/packages/coordination/src/leased/leasedJob.ts
+++ b/packages/coordination/src/leased/leasedJob.ts
@@ -101,8 +101,8 @@
  * A job that found no room is refused when its answer could only come after this
  * many times the objective. Holding on to such jobs to the last moment at which
  * they are of any use (three times) delays the answer of their callers, and takes
- * room from jobs that can be in time: 1% to 3% more of what callers asked for on
- * two days over capacity (1.2, 1.5, 2 and 3 times were played).
+ * room from jobs that can be in time: 1% to 4% more answers in time, by kind of
+ * job, on a day over capacity (1.2, 1.5, 2 and 3 times were played).
  */
 const GIVE_UP_FACTOR = 1.5
 /** The same after this part of the time that the caller waits: it can still go elsewhere, or come again in time. */
