--- a/model/lease.pml
+++ b/model/lease.pml
@@ -59,6 +59,7 @@
 /* An order to start that its agent sent and that got no answer; it may still be carried out. */
 bool late[NA];
 byte lateOwner[NA], lateUntil[NA], lateToken[NA];
+bool repeated[NA];      /* its run has been ordered once more, with the same number, and that was answered */
 
 /* Agents. */
 bool up[NA];
@@ -181,7 +182,8 @@
               lates++;
               lateOwner[a] = e;
               lateUntil[a] = now + H;
-              lateToken[a] = token[a]
+              lateToken[a] = token[a];
+              repeated[a] = false
            fi
         fi
      /* The agent is gone for all that the entry knows: by time, nothing of it runs. */
@@ -200,9 +202,29 @@
      /* An order that was not answered is carried out late. */
      :: late[a] ->
         late[a] = false;
-        if :: !runs[a] -> accept(a, lateOwner[a], lateUntil[a], lateToken[a]) :: else fi
+        if
+#ifndef NO_RUN_NUMBER
+        :: !runs[a] && !repeated[a] ->
+#else
+        :: !runs[a] ->
+#endif
+           accept(a, lateOwner[a], lateUntil[a], lateToken[a])
+        :: else /* a run of that number is there, or has ended there */
+        fi
+     /* The agent orders the same run once more, and gets an answer. */
+     :: up[a] && joined[a] && late[a] && !repeated[a] && sentTo[lateOwner[a]] == a && !ordered[PAIR(a, lateOwner[a])] &&
+        !runs[a] && token[a] == lateToken[a] &&
+#ifndef NO_REPEAT_CHECK
+        authority[PAIR(a, lateOwner[a])] >= now &&
+#endif
+        true ->
+        repeated[a] = true;
+        accept(a, lateOwner[a], now + H, token[a])
+     /* A look shows that this run is over. */
+     :: up[a] && joined[a] && late[a] && repeated[a] && !runs[a] && sentTo[lateOwner[a]] == a && !ordered[PAIR(a, lateOwner[a])] ->
+        sentTo[lateOwner[a]] = NOBODY
      /* The agent makes sure by a stop that it never will be, and says that nothing ran. */
-     :: up[a] && late[a] && sentTo[lateOwner[a]] == a && !ordered[PAIR(a, lateOwner[a])] ->
+     :: up[a] && late[a] && !runs[a] && !repeated[a] && sentTo[lateOwner[a]] == a && !ordered[PAIR(a, lateOwner[a])] ->
 #ifndef NO_STOP_PROOF
         late[a] = false;
 #endif
--- a/packages/coordination/src/leased/describeEnd.ts
+++ b/packages/coordination/src/leased/describeEnd.ts
@@ -1,6 +1,6 @@
 import { REASONS, TASK_OUTCOMES } from '@hazellift/protocol'
 import type { Reason, TaskOutcome } from '@hazellift/protocol'
-import type { AttemptOver } from './endpointLife.js'
+import type { AttemptOver } from './heldTask.js'
 import { RUN_ENDS } from './types.js'
 
 /** How an attempt ended, as its result tells. */
--- a/packages/coordination/src/leased/endpointLife.ts
+++ b/packages/coordination/src/leased/endpointLife.ts
@@ -1,61 +1,19 @@
-import type { Clock } from '@hazellift/common'
 import type { Resources } from '@hazellift/decisions'
 import { REASONS } from '@hazellift/protocol'
 import type { Reason } from '@hazellift/protocol'
-import { RunNumbers } from './runNumbers.js'
+import { EndpointContact } from './endpointContact.js'
+import { EndpointOrders } from './endpointOrders.js'
+import type { EndpointLifeOptions } from './endpointLifeOptions.js'
+import { nameOf } from './heldTask.js'
+import type { AttemptOver, HeldTask } from './heldTask.js'
 import { lapsedMs } from './times.js'
-import type { LeaseTimes } from './times.js'
 import { RUN_ENDS } from './types.js'
-import type { HoldOutcome, LeasedEndpoint, ListedEnd, RunEnd, RunRef } from './types.js'
+import type { HoldOutcome, ListedEnd, RunRef } from './types.js'
 
-/** How an attempt ended, as far as this agent can prove. */
-export type AttemptOver =
-  /** The start is proved void. */
-  | { type: 'not_started', reason: Reason }
-  | { type: 'ended', how: RunEnd }
-  /** It may have run, and is proved to be over. */
-  | { type: 'lost', reason: Reason }
-
-/** A task that was ordered at the endpoint and is not proved to be over. */
-export interface HeldTask extends RunRef {
-  payload: string
-  need: Resources
-  /** Set once somebody wants its end; it counts against the room until the end is listed. */
-  stopReason: Reason | undefined
-  /** Holds sent after this one prove by its absence that it is over; unset while its order is unanswered. */
-  settledAtHold: number | undefined
-  startedAt: number
-  onOver: (over: AttemptOver) => void
-}
-
-/** What a life needs. */
-export interface EndpointLifeOptions {
-  clock: Clock
-  endpoint: LeasedEndpoint
-  capacity: Resources
-  times: LeaseTimes
-  /** How long the answer to a hold may wait for an end. */
-  waitMs: number
-  /** Called before each hold: runs without authority must be stopped before they are held on. */
-  beforeHold: () => void
-  /** The room changed. */
-  onRoom: () => void
-  /** Nothing of an earlier agent runs any more; starts are taken from now on. */
-  onOpen: () => void
-  /** Another life of the endpoint has answered. */
-  onGone: () => void
-  log: (event: string, fields: Record<string, string | number | boolean | undefined>) => void
-}
-
-/** Pause between attempts to stop a run, or to look again. */
-const RETRY_MS = 100
-/** Runs that end at about the same time are looked at together. */
-const GATHER_MS = 4
-const MAX_NUMBER_TRIES = 6
-/** Unanswered holds in a row after which what runs is left to lapse, so that its end gets certain. */
-const MAX_MISSES = 3
-
-const nameOf = ({ submission, index }: RunRef): string => `${submission}.${index}`
+/** Pause between looks at what an earlier agent left. */
+const JOIN_PAUSE_MS = 25
+/** Unanswered looks in a row that are repeated at once; the next hold looks, too. */
+const MAX_LOOK_TRIES = 3
 
 /**
  * One life of the endpoint beside this agent: orders starts within its
@@ -67,17 +25,32 @@
  */
 export class EndpointLife {
   private readonly tasks = new Map<string, HeldTask>()
-  private readonly runNumbers = new RunNumbers()
+  private readonly orders: EndpointOrders
   private lastSeen = 0
   private holds = 0
+  /** The newest look whose answer was read. */
+  private lastLook = 0
   private heldAt = -Infinity
-  /** Holds in a row that were not answered. */
-  private misses = 0
+  private readonly contact: EndpointContact
+  private isLooking = false
+  private mustLookAgain = false
   private isOpen = false
   private isEnded = false
   private wake: (() => void) | undefined
 
   constructor (private readonly options: EndpointLifeOptions) {
+    this.contact = new EndpointContact(options.clock, options.waitMs)
+    this.orders = new EndpointOrders({
+      ...options,
+      contact: this.contact,
+      isOpen: (task) => !this.isEnded && this.isHere(task),
+      isEnded: () => this.isEnded,
+      onHeld: () => { this.heldAt = options.clock.now() },
+      onSettled: (task) => { task.settledAtHold = this.holds },
+      onOver: (task, over) => this.over(task, over),
+      onGone: () => this.onGone(),
+      look: () => { void this.look() }
+    })
     void this.holdOn()
   }
 
@@ -94,7 +67,7 @@
   /** What can be started beside everything that is not proved to be over. */
   get room (): Resources {
     const room = { ...this.options.capacity }
-    if (!this.takesStarts || this.isSilent) return { cpuMilli: 0, memoryMb: 0 }
+    if (!this.takesStarts || this.contact.isSilent) return { cpuMilli: 0, memoryMb: 0 }
     for (const { need } of this.tasks.values()) {
       room.cpuMilli -= need.cpuMilli
       room.memoryMb -= need.memoryMb
@@ -104,7 +77,7 @@
 
   /** The task, if it is not proved to be over. */
   find (submission: string, index: number): HeldTask | undefined {
-    return this.tasks.get(nameOf({ submission, index, run: 0 }))
+    return this.tasks.get(nameOf({ submission, index }))
   }
 
   /** Orders a start. The caller has checked the room and that the task is not here. */
@@ -114,7 +87,7 @@
       ...ref, payload, need, stopReason: undefined, settledAtHold: undefined, startedAt: this.options.clock.now(), onOver
     }
     this.tasks.set(nameOf(ref), task)
-    void this.order(task)
+    void this.orders.start(task)
     this.wake?.()
     return task
   }
@@ -123,7 +96,7 @@
   stop (task: HeldTask, reason: Reason): void {
     if (task.stopReason !== undefined) return
     task.stopReason = reason
-    if (task.settledAtHold !== undefined) void this.orderStop(task)
+    if (task.settledAtHold !== undefined) void this.orders.stop(task)
   }
 
   /** The endpoint is gone, and with it everything that ran there. */
@@ -134,55 +107,32 @@
     for (const task of [...this.tasks.values()]) this.over(task, { type: 'lost', reason })
   }
 
-  private get isSilent (): boolean {
-    return this.misses >= MAX_MISSES
-  }
-
-  private async order (task: HeldTask): Promise<void> {
-    const { clock, endpoint, times } = this.options
-    for (let tries = 0; tries < MAX_NUMBER_TRIES; tries++) {
-      task.run = this.runNumbers.next(nameOf(task), tries)
-      this.heldAt = clock.now()
-      const outcome = await endpoint.start({ ...task, holdMs: times.holdMs })
-      if (this.isEnded || !this.isHere(task)) return
-      switch (outcome.type) {
-        case 'number_used': continue
-        case 'refused': return this.over(task, { type: 'not_started', reason: outcome.reason })
-        case 'gone': return this.onGone()
-        case 'unknown': return this.settleUnknown(task)
-        case 'started':
-          task.settledAtHold = this.holds
-          if (task.stopReason !== undefined) void this.orderStop(task)
-          return
+  /** Looks at once, beside the hold that waits for an end; a look that is asked for meanwhile follows. */
+  private async look (): Promise<void> {
+    this.mustLookAgain = true
+    if (this.isLooking) return
+    this.isLooking = true
+    for (let misses = 0; this.mustLookAgain && misses < MAX_LOOK_TRIES && !this.isEnded;) {
+      this.mustLookAgain = false
+      const hold = ++this.holds
+      const outcome = await this.options.endpoint.hold({ holdMs: undefined, lastSeen: this.lastSeen, waitMs: 0 })
+      if (this.isEnded) break
+      if (outcome.type === 'gone') this.onGone()
+      else if (outcome.type === 'held') this.reconcile(hold, outcome)
+      else {
+        this.contact.lost()
+        this.mustLookAgain = true
+        misses++
       }
     }
-    this.over(task, { type: 'not_started', reason: REASONS.endpointBusy })
-  }
-
-  private settleUnknown (task: HeldTask): void {
-    this.options.log('order_unanswered', { job: task.submission, task: task.index, run: task.run })
-    task.stopReason ??= REASONS.orderUnanswered
-    void this.orderStop(task)
-  }
-
-  /** Repeats the order until it is answered: before that, a run whose start was not answered may begin late. */
-  private async orderStop (task: HeldTask): Promise<void> {
-    const { clock, endpoint } = this.options
-    const isUnsettled = (): boolean => task.settledAtHold === undefined
-    while ((this.isHere(task) || isUnsettled()) && !this.isEnded) {
-      if (await endpoint.stop(task)) {
-        task.settledAtHold = this.holds
-        return
-      }
-      await clock.sleep(RETRY_MS)
-    }
+    this.isLooking = false
   }
 
   private async holdOn (): Promise<void> {
     await this.join()
     while (!this.isEnded) {
       // An endpoint that has fallen silent gets no start, so it must be looked at until it answers again.
-      if (this.tasks.size === 0 && !this.isSilent) await this.untilBusy()
+      if (this.tasks.size === 0 && !this.contact.isSilent) await this.untilBusy()
       else await this.holdOnce()
     }
   }
@@ -202,7 +152,7 @@
         log('left_by_earlier_agent', { runs: outcome.running.length })
         await Promise.all(outcome.running.map((run) => endpoint.stop(run)))
       }
-      await clock.sleep(RETRY_MS / 4)
+      await clock.sleep(JOIN_PAUSE_MS)
     }
   }
 
@@ -216,44 +166,56 @@
   }
 
   private async holdOnce (): Promise<void> {
-    const { clock, endpoint, times, waitMs, beforeHold } = this.options
+    const { clock, endpoint, times, beforeHold } = this.options
     beforeHold()
     const hold = ++this.holds
-    if (!this.isSilent) this.heldAt = clock.now()
-    const outcome = await endpoint.hold({ holdMs: this.isSilent ? undefined : times.holdMs, lastSeen: this.lastSeen, waitMs })
+    const sentAt = clock.now()
+    const { isSilent, holdWaitMs } = this.contact
+    if (!isSilent) this.heldAt = sentAt
+    const outcome = await endpoint.hold({ holdMs: isSilent ? undefined : times.holdMs, lastSeen: this.lastSeen, waitMs: holdWaitMs })
     if (this.isEnded) return
     if (outcome.type === 'gone') return this.onGone()
-    if (outcome.type === 'unknown') this.onMiss()
+    if (outcome.type === 'unknown') this.onMiss(sentAt)
     else this.onHeld(hold, outcome)
-    await clock.sleep(GATHER_MS)
+    await clock.sleep(Math.min(this.contact.pauseMs, this.untilLapsedMs))
+  }
+
+  /** Time until all that was held has lapsed, if that is still to be proved. */
+  private get untilLapsedMs (): number {
+    const { clock, times } = this.options
+    const leftMs = this.heldAt + lapsedMs(times) - clock.now()
+    return this.tasks.size > 0 && leftMs > 0 ? leftMs : Infinity
   }
 
   private onHeld (hold: number, outcome: HoldOutcome & { type: 'held' }): void {
-    const wasSilent = this.isSilent
-    this.misses = 0
+    const wasSilent = this.contact.isSilent
+    this.contact.answered()
     this.reconcile(hold, outcome)
     if (wasSilent) this.options.onRoom()
   }
 
-  private onMiss (): void {
+  private onMiss (sentAt: number): void {
     const { clock, times, log, onRoom } = this.options
-    if (++this.misses === MAX_MISSES) {
+    if (this.contact.missed(sentAt)) {
       log('endpoint_silent', { tasks: this.tasks.size })
       onRoom()
     }
-    if (!this.isSilent || clock.now() - this.heldAt < lapsedMs(times)) return
+    if (!this.contact.isSilent || clock.now() - this.heldAt < lapsedMs(times)) return
     for (const task of [...this.tasks.values()]) this.over(task, { type: 'lost', reason: REASONS.endpointReset })
   }
 
   private reconcile (hold: number, { running, ended }: HoldOutcome & { type: 'held' }): void {
     for (const end of ended) this.onListedEnd(end)
-    const shown = new Set(running.map(({ run, ...ref }) => `${nameOf({ ...ref, run })}#${run}`))
+    const shown = new Set(running.map(({ run, ...ref }) => `${nameOf(ref)}#${run}`))
     for (const task of [...this.tasks.values()]) {
       const isSettled = task.settledAtHold !== undefined && hold > task.settledAtHold
       if (!isSettled || shown.has(`${nameOf(task)}#${task.run}`)) continue
       const reason = task.stopReason ?? REASONS.leaseExpired
       this.over(task, reason === REASONS.orderUnanswered ? { type: 'not_started', reason } : { type: 'lost', reason })
     }
+    // An answer that was overtaken by that of a later look may show what has ended since.
+    if (hold < this.lastLook) return
+    this.lastLook = hold
     for (const run of running) if (!this.tasks.has(nameOf(run))) void this.stopStray(run)
   }
 
--- /dev/null
+++ b/packages/coordination/src/leased/endpointLifeOptions.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '@hazellift/common'
+import type { Resources } from '@hazellift/decisions'
+import type { LeaseTimes } from './times.js'
+import type { LeasedEndpoint } from './types.js'
+
+/** What a life needs. */
+export interface EndpointLifeOptions {
+  clock: Clock
+  endpoint: LeasedEndpoint
+  capacity: Resources
+  times: LeaseTimes
+  /** How long the answer to a hold may wait for an end. */
+  waitMs: number
+  /** Called before each hold: runs without authority must be stopped before they are held on. */
+  beforeHold: () => void
+  /** The room changed. */
+  onRoom: () => void
+  /** Nothing of an earlier agent runs any more; starts are taken from now on. */
+  onOpen: () => void
+  /** Another life of the endpoint has answered. */
+  onGone: () => void
+  log: (event: string, fields: Record<string, string | number | boolean | undefined>) => void
+}
--- /dev/null
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -0,0 +1,114 @@
+import type { Clock } from '@hazellift/common'
+import { REASONS } from '@hazellift/protocol'
+import type { Reason } from '@hazellift/protocol'
+import type { EndpointContact } from './endpointContact.js'
+import { nameOf } from './heldTask.js'
+import type { AttemptOver, HeldTask } from './heldTask.js'
+import { RunNumbers } from './runNumbers.js'
+import type { LeaseTimes } from './times.js'
+import type { LeasedEndpoint } from './types.js'
+
+/** What orders to an endpoint need. */
+export interface EndpointOrdersOptions {
+  clock: Clock
+  endpoint: LeasedEndpoint
+  times: LeaseTimes
+  contact: EndpointContact
+  /** True while the task is not proved to be over. */
+  isOpen: (task: HeldTask) => boolean
+  /** True once the endpoint's life is over. */
+  isEnded: () => boolean
+  /** Stops what runs without authority. */
+  beforeHold: () => void
+  /** What runs there is held on from now. */
+  onHeld: () => void
+  /** Looks sent from now on prove by its absence that the task is over. */
+  onSettled: (task: HeldTask) => void
+  onOver: (task: HeldTask, over: AttemptOver) => void
+  /** Another life of the endpoint has answered. */
+  onGone: () => void
+  /** Shows what runs, at once. */
+  look: () => void
+  log: (event: string, fields: Record<string, string | number | boolean | undefined>) => void
+}
+
+const MAX_NUMBER_TRIES = 6
+/** An unanswered start is sent again so often: at 8% lost orders one in 2000 fails. Then its task goes elsewhere, once a stop has forbidden it here. */
+const MAX_START_TRIES = 3
+/** An unanswered stop is repeated at once so often, then with growing pauses. */
+const QUICK_STOPS = 3
+const STOP_PAUSE = { baseMs: 10, maxMs: 100 }
+
+/** Orders of one life of an endpoint to start and stop tasks, each repeated until it is settled. */
+export class EndpointOrders {
+  private readonly runNumbers = new RunNumbers()
+
+  constructor (private readonly options: EndpointOrdersOptions) {}
+
+  /**
+   * Orders a start. One without an answer is sent again with the same number:
+   * whichever copy arrives first begins the run, and no other begins it again,
+   * however late it is.
+   */
+  async start (task: HeldTask): Promise<void> {
+    const { endpoint, times, contact, isOpen, onHeld, onGone } = this.options
+    let used = 0
+    let unanswered = 0
+    task.run = this.runNumbers.next(nameOf(task), 0)
+    while (true) {
+      onHeld()
+      const outcome = await endpoint.start({ ...task, holdMs: times.holdMs })
+      if (!isOpen(task)) return
+      if (outcome.type === 'gone') return onGone()
+      // A number that is used after an unanswered order: its run has begun, and ended.
+      if (outcome.type === 'started' || (outcome.type === 'number_used' && unanswered > 0)) return this.onStarted(task)
+      if (outcome.type === 'unknown') {
+        contact.lost()
+        if (++unanswered === MAX_START_TRIES || !this.mayRepeat(task)) return this.settleUnknown(task)
+        continue
+      }
+      // Refused now, but an unanswered copy may still be carried out.
+      if (unanswered > 0) return this.settleUnknown(task)
+      if (outcome.type === 'refused') return this.notStarted(task, outcome.reason)
+      if (++used === MAX_NUMBER_TRIES || !this.mayRepeat(task)) return this.notStarted(task, REASONS.endpointBusy)
+      task.run = this.runNumbers.next(nameOf(task), used)
+    }
+  }
+
+  /** Orders a stop, until it is answered: before that, a run whose start was not answered may begin late. */
+  async stop (task: HeldTask): Promise<void> {
+    const { clock, endpoint, contact, isOpen, isEnded, onSettled, look } = this.options
+    const isUnsettled = (): boolean => task.settledAtHold === undefined
+    for (let tries = 1; (isOpen(task) || isUnsettled()) && !isEnded(); tries++) {
+      if (await endpoint.stop(task)) {
+        onSettled(task)
+        // No end will be listed of a run that never began.
+        if (task.stopReason === REASONS.orderUnanswered) look()
+        return
+      }
+      contact.lost()
+      if (tries >= QUICK_STOPS) await clock.sleep(Math.min(STOP_PAUSE.maxMs, STOP_PAUSE.baseMs * 2 ** (tries - QUICK_STOPS)))
+    }
+  }
+
+  /** An order is repeated only under authority that holds now: this process may have stood still since it was sent. */
+  private mayRepeat (task: HeldTask): boolean {
+    this.options.beforeHold()
+    return task.stopReason === undefined && this.options.isOpen(task)
+  }
+
+  private onStarted (task: HeldTask): void {
+    this.options.onSettled(task)
+    if (task.stopReason !== undefined) void this.stop(task)
+  }
+
+  private notStarted (task: HeldTask, reason: Reason): void {
+    this.options.onOver(task, { type: 'not_started', reason })
+  }
+
+  private settleUnknown (task: HeldTask): void {
+    this.options.log('order_unanswered', { job: task.submission, task: task.index, run: task.run })
+    task.stopReason ??= REASONS.orderUnanswered
+    void this.stop(task)
+  }
+}
--- a/packages/coordination/tests/leased/fakeEndpoint.ts
+++ b/packages/coordination/tests/leased/fakeEndpoint.ts
@@ -27,7 +27,8 @@
 }
 
 const LATE_MS = 3000
-const CALL_TIMEOUT_MS = 60
+/** A caller's time limit, unless a test says otherwise. */
+const CALL_LIMIT_MS = 60
 const STEP_MS = 5
 
 /** An endpoint with leases, run numbers and a list of ends, on a fake clock. */
@@ -45,7 +46,10 @@
   private seq = 0
   private until = 0
 
-  constructor (private readonly clock: Clock, readonly cpuOfTask: (submission: string) => number) {}
+  /** Calls so far, by kind. */
+  readonly calls = { start: 0, stop: 0, hold: 0 }
+
+  constructor (private readonly clock: Clock, readonly cpuOfTask: (submission: string) => number, private readonly callLimitMs = CALL_LIMIT_MS) {}
 
   start = (order: StartOrder): Promise<StartOutcome> => this.call('start', () => this.onStart(order), { type: 'unknown' })
   stop = (run: RunRef): Promise<boolean> => this.call('stop', () => this.onStop(run), false)
@@ -57,7 +61,10 @@
       this.ends = this.ends.filter(({ seq }) => seq > lastSeen)
       return true
     }, false)
-    if (!isSeen) return { type: 'unknown' }
+    if (!isSeen) {
+      await this.clock.sleep(waitMs)
+      return { type: 'unknown' }
+    }
     for (let waited = 0; waited < waitMs && this.ends.length === 0; waited += STEP_MS) await this.clock.sleep(STEP_MS)
     return this.show()
   }
@@ -81,11 +88,12 @@
   }
 
   private async call<T> (name: 'start' | 'stop' | 'hold', act: () => T, unanswered: T): Promise<T> {
+    this.calls[name]++
     const fault = this.fault(name)
     if (fault === 'none') return act()
     if (fault === 'answer_lost') act()
     if (fault === 'late') this.clock.after(LATE_MS, act)
-    await this.clock.sleep(CALL_TIMEOUT_MS)
+    await this.clock.sleep(this.callLimitMs)
     return unanswered
   }
 
--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -83,6 +83,8 @@
   { file: LEASE, budget: 'leaseAgentDies', guard: 'NO_JOIN', without: 'ending what an earlier agent left' },
   { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_LATE_CHECK', without: 'the endpoint\'s check of an order\'s end' },
   { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_STOP_PROOF', without: 'the stop that makes an unanswered order void' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_RUN_NUMBER', without: 'the run\'s number, the same for an order that is repeated' },
+  { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_REPEAT_CHECK', without: 'the look at authority before an order is repeated' },
   { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_PROOF_BY_TIME', without: 'the wait until an agent\'s orders are over' },
   { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_START_CHECK', without: 'the agent\'s check of its authority before a start' },
   { file: LEASE, budget: 'leaseLateOrders', guard: 'NO_ORDERED_STREAM', without: 'orders and echoes on one stream' },
