Lab: an emulator of entries, agents and endpoints on an event clock; stops wait while an endpoint is silent

Change: packages/lab plays the real dispatcher, hosts and endpoint lives with processor shares, links, sessions, callers and twelve kinds of trouble; scenarios are checked TOML files or drawn from a seed; run, compare, ablate, bound and drawn show tables with 95% intervals, paired by seed, and SVG plots. Stops of a silent endpoint wait until its holds are answered (test failed first); it is looked at every 100 ms while there are any.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 /** Packages in the order of dependency: each may import only those before it. */
-const LAYERS = ['decisions', 'common', 'protocol', 'store', 'coordination', 'sessions', 'entry', 'agent', 'standins']
+const LAYERS = ['decisions', 'common', 'protocol', 'store', 'coordination', 'sessions', 'entry', 'agent', 'standins', 'lab']
 
 const forbiddenFor = (name) => {
   const later = LAYERS.slice(LAYERS.indexOf(name))
--- a/packages/coordination/src/leased/endpointContact.ts
+++ b/packages/coordination/src/leased/endpointContact.ts
@@ -10,8 +10,12 @@
  */
 const SILENT_MISSES = 9
 const SILENT_MS = 250
-/** Pause between looks at a silent endpoint: each costs a connection. */
-const SILENT_PAUSE = { baseMs: 60, maxMs: 480 }
+/**
+ * Pause between looks at a silent endpoint: each costs a connection. While
+ * orders there are not settled, which may still be carried out, it must be
+ * noticed soon that the endpoint answers again.
+ */
+const SILENT_PAUSE = { baseMs: 60, maxMs: 480, maxUnsettledMs: 100 }
 /** How long calls count as likely to be lost after one was. */
 const LOSSY_MS = 3000
 /**
@@ -31,6 +35,7 @@
   private missingSince = 0
   private lastLossAt = -Infinity
   private silent = false
+  private readonly waiting = new Set<() => void>()
 
   /**
    * @param clock - the agent's
@@ -53,13 +58,26 @@
   get pauseMs (): number {
     if (this.misses === 0) return GATHER_MS
     if (!this.silent) return REFUSED_PAUSE_MS
-    return Math.min(SILENT_PAUSE.maxMs, SILENT_PAUSE.baseMs * 2 ** Math.max(0, this.misses - SILENT_MISSES - 1))
+    const maxMs = this.waiting.size > 0 ? SILENT_PAUSE.maxUnsettledMs : SILENT_PAUSE.maxMs
+    return Math.min(maxMs, SILENT_PAUSE.baseMs * 2 ** Math.max(0, this.misses - SILENT_MISSES - 1))
   }
 
   /** A hold was answered. */
   answered (): void {
     this.misses = 0
     this.silent = false
+    this.release()
+  }
+
+  /** Resolves at once, or when a silent endpoint has answered again; what must be repeated until then costs nothing. */
+  untilAnswering (): Promise<void> {
+    return this.silent ? new Promise((resolve) => { this.waiting.add(resolve) }) : Promise.resolve()
+  }
+
+  /** Nothing is waited for any more. */
+  release (): void {
+    for (const resolve of this.waiting) resolve()
+    this.waiting.clear()
   }
 
   /** A call other than a hold was not answered. */
--- a/packages/coordination/src/leased/endpointLife.test.ts
+++ b/packages/coordination/src/leased/endpointLife.test.ts
@@ -116,6 +116,20 @@
     expect(endpoint.calls.hold - before).toBeLessThan(60)
   })
 
+  it('stops of starts that a silent endpoint left unanswered wait until it answers, and are sent then', async () => {
+    const { endpoint, advance, start, runsOf } = await setUp(100)
+    endpoint.fault = (call) => call === 'start' ? 'late' : 'lost'
+    for (let task = 0; task < 4; task++) start(`a${task}`)
+    await advance(600)
+    const before = endpoint.calls.stop
+    await advance(2000)
+    expect(endpoint.calls.stop).toBe(before)
+    endpoint.fault = () => 'none'
+    await advance(2000)
+    expect(endpoint.calls.stop - before).toBe(4)
+    expect(['a0', 'a1', 'a2', 'a3'].flatMap(runsOf)).toEqual([])
+  })
+
   it('an endpoint that answers again takes starts again', async () => {
     const { endpoint, advance, start } = await setUp(50)
     start('a')
--- a/packages/coordination/src/leased/endpointLife.ts
+++ b/packages/coordination/src/leased/endpointLife.ts
@@ -104,6 +104,7 @@
     if (this.isEnded) return
     this.isEnded = true
     this.wake?.()
+    this.contact.release()
     for (const task of [...this.tasks.values()]) this.over(task, { type: 'lost', reason })
   }
 
@@ -131,9 +132,9 @@
   private async holdOn (): Promise<void> {
     await this.join()
     while (!this.isEnded) {
-      // An endpoint that has fallen silent gets no start, so it must be looked at until it answers again.
-      if (this.tasks.size === 0 && !this.contact.isSilent) await this.untilBusy()
-      else await this.holdOnce()
+      // A silent endpoint gets no start, so it must be looked at until it answers again.
+      const isIdle = this.tasks.size === 0 && !this.contact.isSilent
+      await (isIdle ? this.untilBusy() : this.holdOnce())
     }
   }
 
@@ -156,13 +157,9 @@
     }
   }
 
-  private untilBusy (): Promise<void> {
-    return new Promise((resolve) => {
-      this.wake = () => {
-        this.wake = undefined
-        resolve()
-      }
-    })
+  private async untilBusy (): Promise<void> {
+    await new Promise<void>((resolve) => { this.wake = resolve })
+    this.wake = undefined
   }
 
   private async holdOnce (): Promise<void> {
@@ -182,8 +179,7 @@
 
   /** Time until all that was held has lapsed, if that is still to be proved. */
   private get untilLapsedMs (): number {
-    const { clock, times } = this.options
-    const leftMs = this.heldAt + lapsedMs(times) - clock.now()
+    const leftMs = this.heldAt + lapsedMs(this.options.times) - this.options.clock.now()
     return this.tasks.size > 0 && leftMs > 0 ? leftMs : Infinity
   }
 
--- a/packages/coordination/src/leased/endpointOrders.ts
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -87,6 +87,8 @@
         return
       }
       contact.lost()
+      // At a silent endpoint the holds ask whether it answers again.
+      await contact.untilAnswering()
       if (tries >= QUICK_STOPS) await clock.sleep(Math.min(STOP_PAUSE.maxMs, STOP_PAUSE.baseMs * 2 ** (tries - QUICK_STOPS)))
     }
   }
--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -1,5 +1,4 @@
 import { create } from '@bufbuild/protobuf'
-import type { Policy } from '@hazellift/decisions'
 import { REASONS, RevokeSchema, TASK_OUTCOMES } from '@hazellift/protocol'
 import type { Reason, TaskResult } from '@hazellift/protocol'
 import { findStragglers } from './findStragglers.js'
@@ -72,6 +71,13 @@
     return open
   }
 
+  /** Jobs with tasks that wait to be sent. */
+  get waitingJobs (): number {
+    let waiting = 0
+    for (const { queue } of this.fleet.services.values()) waiting += queue.size
+    return waiting
+  }
+
   /** Jobs of a kind of which nothing was started. */
   pendingOf (kind: string): number {
     let pending = 0
@@ -99,7 +105,7 @@
   submit (spec: LeasedJobSpec, onEnd: (end: LeasedJobEnd) => void): LeasedJob {
     const { clock } = this.options
     const job = createLeasedJob(spec, clock.now(), this.expectedMs(spec), onEnd)
-    const refusal = this.isJoining ? undefined : findRefusal(job, this.fleet, this.options.entryCount(), this.policy)
+    const refusal = this.isJoining ? undefined : findRefusal(job, this.fleet, this.options.entryCount(), this.fleet.policy)
     if (refusal !== undefined) {
       this.finish(job, refusal)
       return job
@@ -125,10 +131,6 @@
     this.sender.scheduleAll()
   }
 
-  private get policy (): Policy {
-    return this.fleet.policy
-  }
-
   /** True while a job may wait for endpoints that this process does not know yet. */
   private get isJoining (): boolean {
     return !this.sessions.hasSeenEndpoint && this.options.clock.now() - this.startedAt < JOIN_MS
@@ -200,13 +202,13 @@
 
   private checkTimes (job: LeasedJob, now: number): void {
     if (job.end !== undefined) return
-    if (this.policy.giveUp(job, now)) return this.finish(job, overload('no room came free in time', this.policy))
+    if (this.fleet.policy.giveUp(job, now)) return this.finish(job, overload('no room came free in time', this.fleet.policy))
     if (now >= job.deadlineAt) return this.cancel(job, REASONS.deadline, 'the caller\'s deadline has passed')
   }
 
   /** Stops runs that take far longer than others of their kind, so that they can run elsewhere. */
   private moveStragglers (now: number): void {
-    for (const { agent, job, index, sentAt } of findStragglers(this.fleet, this.runTimes, now, this.policy.move)) {
+    for (const { agent, job, index, sentAt } of findStragglers(this.fleet, this.runTimes, now, this.fleet.policy.move)) {
       job.tasks[index]!.isMoving = true
       this.options.events.moved(job, index, agent.agentId, now - sentAt)
       this.fleet.healthOf(agent)?.failed(agent.agentId)
--- /dev/null
+++ b/packages/lab/src/createLabCaller.ts
@@ -0,0 +1,45 @@
+import { ResponseTimes } from '@hazellift/coordination'
+import type { HoldOutcome, LeasedEndpoint, StartOutcome } from '@hazellift/coordination'
+import type { LabEndpoint } from './labEndpoint.js'
+import type { LabProcess } from './labProcess.js'
+
+/** Processor time of a call at the agent, by a profile of the platform's adapter: sending and reading, each. */
+const CALL_COST_MS = 0.08
+/** Way to the endpoint beside it, and back, each. */
+const WAY_MS = 0.3
+
+/**
+ * An agent's calls to one life of its endpoint, with the time limits that it learns.
+ *
+ * @param process - the agent's
+ * @param endpoint - the life beside it
+ * @param onLost - told of each call without an answer: it cost a connection
+ */
+export const createLabCaller = (process: LabProcess, endpoint: LabEndpoint, onLost: () => void): LeasedEndpoint => {
+  const times = new ResponseTimes()
+
+  const call = <T>(unanswered: T, waitMs: number, send: (answer: (outcome: T) => void) => void): Promise<T> => new Promise((resolve) => {
+    const sentAt = process.clock.now()
+    let isLate = false
+    const cancelLimit = process.clock.after(waitMs + times.limitMs, () => {
+      isLate = true
+      onLost()
+      resolve(unanswered)
+    })
+    const onAnswer = (outcome: T): void => process.work(CALL_COST_MS, () => {
+      cancelLimit()
+      const ms = process.clock.now() - sentAt
+      if (ms >= waitMs) times.observe(ms - waitMs)
+      if (!isLate) resolve(outcome)
+    })
+    process.work(CALL_COST_MS, () => {
+      process.clock.after(WAY_MS, () => send((outcome) => process.clock.after(WAY_MS, () => onAnswer(outcome))))
+    })
+  })
+
+  return {
+    start: (order) => call<StartOutcome>({ type: 'unknown' }, 0, (answer) => endpoint.start(order, process.clock.now(), answer)),
+    stop: (run) => call(false, 0, (answer) => endpoint.stop(run, answer)),
+    hold: (order) => call<HoldOutcome>({ type: 'unknown' }, order.waitMs, (answer) => endpoint.hold(order, process.clock.now(), answer))
+  }
+}
--- /dev/null
+++ b/packages/lab/src/labSession.ts
@@ -0,0 +1,131 @@
+import { create } from '@bufbuild/protobuf'
+import type { Clock } from '@hazellift/common'
+import type { AddToFrame, AgentLink, LeasedAgent } from '@hazellift/coordination'
+import { AgentFrameSchema, EntryFrameSchema, HelloSchema } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
+import { FrameSender } from './frameSender.js'
+import type { LabAgent, LabEntry, LinkTimes } from './labLink.js'
+import type { LabProcess } from './labProcess.js'
+
+/** What a session needs. */
+export interface LabSessionOptions {
+  world: Clock
+  agent: LabAgent
+  entry: LabEntry
+  times: LinkTimes
+  /** Time of the way. */
+  delayMs: number
+  /** True while nothing arrives, no end of a connection either. */
+  isSilent: () => boolean
+  /** A frame is on its way; `fn` reads it. */
+  arrive: (delayMs: number, to: LabProcess, fn: () => void) => void
+  /** Both sides have ended. */
+  onOver: () => void
+}
+
+/** One side, as its process sees it. */
+interface Side {
+  isOpen: boolean
+  readAt: number
+  process: LabProcess
+  /** Tells the program that the session has ended. */
+  onEnd: () => void
+}
+
+/** One session of an agent with an entry, from its dialling until both sides have ended. */
+export class LabSession {
+  private readonly agentSide: Side
+  private readonly entrySide: Side
+  private readonly toEntry: FrameSender<AgentFrame>
+  private readonly toAgent: FrameSender<EntryFrame>
+  private readonly link: AgentLink
+  private handle: LeasedAgent | undefined
+  private acked = 0n
+
+  constructor (private readonly options: LabSessionOptions) {
+    const { world, agent, entry, times, delayMs } = options
+    const now = world.now()
+    this.agentSide = { isOpen: true, readAt: now, process: agent.process, onEnd: () => agent.host.closeSession(entry.incarnation, this.add) }
+    this.entrySide = {
+      isOpen: true, readAt: now, process: entry.process, onEnd: () => { if (this.handle !== undefined) entry.dispatcher.sessions.closed(this.handle, this.link) }
+    }
+    this.link = {
+      add: (change) => { if (this.entrySide.isOpen) this.toAgent.add(change) },
+      acknowledge: (seq) => { this.acked = seq },
+      close: () => this.end(this.entrySide)
+    }
+    const common = { world, costMs: times.frameCostMs, delayMs }
+    this.toEntry = new FrameSender<AgentFrame>({
+      ...common,
+      process: agent.process,
+      empty: () => create(AgentFrameSchema),
+      stamp: (frame) => { if (this.agentSide.isOpen) agent.host.stamp(entry.incarnation, frame) },
+      deliver: (frame, ms) => options.arrive(ms, entry.process, () => this.atEntry(frame))
+    })
+    this.toAgent = new FrameSender<EntryFrame>({
+      ...common,
+      process: entry.process,
+      empty: () => create(EntryFrameSchema),
+      stamp: (frame) => this.stamp(frame),
+      deliver: (frame, ms) => options.arrive(ms, agent.process, () => this.atAgent(frame))
+    })
+    agent.host.openSession(entry.incarnation, this.add)
+    this.add((frame) => { frame.hello = create(HelloSchema, { agentId: agent.id, incarnation: agent.incarnation, zone: agent.zone }) })
+    for (const side of [this.agentSide, this.entrySide]) this.watch(side)
+    this.keepAlive(this.agentSide, this.toEntry, times.keepAliveMs)
+    this.keepAlive(this.entrySide, this.toAgent, times.entryKeepAliveMs)
+  }
+
+  /** A process has ended: its side is gone, and the other one hears of it. */
+  reset (): void {
+    for (const side of [this.agentSide, this.entrySide]) this.end(side)
+  }
+
+  private readonly add: AddToFrame = (change) => { if (this.agentSide.isOpen) this.toEntry.add(change) }
+
+  private stamp (frame: EntryFrame): void {
+    frame.ackedSeq = this.acked
+    if (this.handle !== undefined && this.entrySide.isOpen) this.options.entry.dispatcher.sessions.stamp(this.handle, frame)
+  }
+
+  private atEntry (frame: AgentFrame): void {
+    if (!this.entrySide.isOpen) return
+    const { sessions } = this.options.entry.dispatcher
+    this.entrySide.readAt = this.options.world.now()
+    if (frame.hello !== undefined) this.handle = sessions.open(frame.hello, this.link)
+    if (this.handle !== undefined) sessions.onFrame(this.handle, this.link, frame)
+  }
+
+  private atAgent (frame: EntryFrame): void {
+    if (!this.agentSide.isOpen) return
+    const { agent, entry, world } = this.options
+    this.agentSide.readAt = world.now()
+    agent.host.onFrame(entry.incarnation, this.add, frame)
+  }
+
+  private end (side: Side): void {
+    if (!side.isOpen) return
+    const { world, delayMs, isSilent, onOver } = this.options
+    const other = side === this.agentSide ? this.entrySide : this.agentSide
+    side.isOpen = false
+    if (side.process.isUp) side.onEnd()
+    // A process that stands still hears of an end later; one that is gone has ended its side itself.
+    const hear = (): void => other.process.isUp ? other.process.run(() => this.end(other)) : this.end(other)
+    if (other.isOpen && !isSilent()) world.after(delayMs, hear)
+    if (!other.isOpen) onOver()
+  }
+
+  private watch (side: Side): void {
+    const { world, times } = this.options
+    if (!side.isOpen || !side.process.isUp) return
+    if (world.now() - side.readAt > times.timeoutMs) return this.end(side)
+    side.process.clock.after(times.timeoutMs / 4, () => this.watch(side))
+  }
+
+  private keepAlive (side: Side, sender: Pick<FrameSender<object>, 'sentAt' | 'add'>, everyMs: number): void {
+    if (!side.isOpen) return
+    const dueMs = sender.sentAt + everyMs - this.options.world.now()
+    if (dueMs <= 0) sender.add(() => {})
+    side.process.clock.after(dueMs <= 0 ? everyMs : dueMs, () => this.keepAlive(side, sender, everyMs))
+  }
+}
