--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -6,25 +6,13 @@
 import { findStragglers } from './findStragglers.js'
 import { findHopeless, findRefusal } from './leasedAdmission.js'
 import type { LeasedAgent, SentRun } from './leasedAgent.js'
-import type { LeasedDispatchEvents } from './leasedDispatchEvents.js'
+import type { LeasedDispatcherOptions } from './leasedDispatcherOptions.js'
 import { LeasedFleet } from './leasedFleet.js'
-import type { LeasedFleetOptions } from './leasedFleet.js'
 import { LEASED_TASK_STATES, createLeasedJob } from './leasedJob.js'
 import type { LeasedJob, LeasedJobEnd, LeasedJobSpec } from './leasedJob.js'
 import { LeasedSender } from './leasedSender.js'
 import { LeasedSessions } from './leasedSessions.js'
 import { RunTimes } from './runTimes.js'
-import type { LeaseTimes } from './times.js'
-
-/** What the dispatcher needs. */
-export interface LeasedDispatcherOptions extends LeasedFleetOptions {
-  times: LeaseTimes
-  events: LeasedDispatchEvents
-  /** Entries that share the endpoints, this one included. */
-  entryCount: () => number
-  /** Runs `fn` after the events that are ready now. */
-  defer: (fn: () => void) => void
-}
 
 /** Scale of run times in the health records, which compare them with the expected ones. */
 const EXPECTED_SCALE_MS = 100
--- a/packages/coordination/src/leased/leasedDispatchEvents.ts
+++ b/packages/coordination/src/leased/leasedDispatcherOptions.ts
@@ -1,7 +1,9 @@
 import type { Resources } from '@hazellift/decisions'
 import type { Reason, TaskResult } from '@hazellift/protocol'
+import type { LeasedFleetOptions } from './leasedFleet.js'
 import type { LeasedJob, LeasedJobEnd } from './leasedJob.js'
 import type { LeasedSessionEvents } from './leasedSessions.js'
+import type { LeaseTimes } from './times.js'
 
 /** What the dispatcher tells its owner, for logs and metrics. */
 export interface LeasedDispatchEvents extends LeasedSessionEvents {
@@ -15,3 +17,13 @@
   /** A run ended, or a start was turned away. */
   result: (agentId: string, result: TaskResult) => void
 }
+
+/** What the dispatcher needs. */
+export interface LeasedDispatcherOptions extends LeasedFleetOptions {
+  times: LeaseTimes
+  events: LeasedDispatchEvents
+  /** Entries that share the endpoints, this one included. */
+  entryCount: () => number
+  /** Runs `fn` after the events that are ready now. */
+  defer: (fn: () => void) => void
+}
