--- a/packages/lab/src/labWorld.ts
+++ b/packages/lab/src/labWorld.ts
@@ -27,6 +27,9 @@
 /** Purposes of random sources; those of the kinds of jobs are the numbers from 0. */
 const PURPOSES = { entries: 40, endpoints: 50, troubles: 62 } as const
 
+/** Name of the availability zone of this number. */
+export const zoneName = (zone: number): string => `zone-${zone}`
+
 /** A place for an entry's process, with the process that runs there now. */
 export interface EntrySlot extends LabEntry {
   jobs: LeasedJobs
@@ -122,7 +125,7 @@
   }
 
   private zoneOf (index: number): string {
-    return `zone-${index % this.scenario.zones}`
+    return zoneName(index % this.scenario.zones)
   }
 
   private newEntry (index: number): EntrySlot {
--- a/packages/lab/src/runScenario.ts
+++ b/packages/lab/src/runScenario.ts
@@ -2,7 +2,7 @@
 import type { Policy } from '@hazellift/decisions'
 import { inTimeBySecond, toFigures } from './figures.js'
 import type { CallerEnd, Figures, Outcome } from './figures.js'
-import { LabWorld } from './labWorld.js'
+import { LabWorld, zoneName } from './labWorld.js'
 import type { EntrySlot } from './labWorld.js'
 import { playTroubles } from './playTroubles.js'
 import type { Scenario } from './scenario.js'
@@ -94,9 +94,8 @@
 
   /** By zone at first; another one each time after. */
   private pickEntry (): EntrySlot | undefined {
-    const { entries, scenario } = this.world
-    const up = entries.filter(({ process }) => process.isUp)
-    const near = up.filter((_entry, index) => index % scenario.zones === this.arrival.zone)
+    const up = this.world.entries.filter(({ process }) => process.isUp)
+    const near = up.filter(({ zone }) => zone === zoneName(this.arrival.zone))
     const list = near.length > 0 && this.tries === 0 ? near : up
     return list[(Math.floor(this.arrival.at) + this.tries) % Math.max(1, list.length)]
   }
