--- a/packages/agent/src/startAgent.ts
+++ b/packages/agent/src/startAgent.ts
@@ -1,10 +1,11 @@
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
-import { createLogger, createMetrics, systemClock, TIME_BUCKETS_SECONDS } from '@hazellift/common'
+import { createLogger, createMetrics, rendezvousScore, systemClock, TIME_BUCKETS_SECONDS } from '@hazellift/common'
 import type { Metrics } from '@hazellift/common'
 import { TaskHost } from '@hazellift/coordination'
+import { ALL_ENTRIES } from '@hazellift/decisions'
 import type { AgentSettings, TaskResult } from '@hazellift/protocol'
-import { EntryDialer, dialEntry } from '@hazellift/sessions'
+import { EntryDialer, Pulse, dialEntry } from '@hazellift/sessions'
 import { ulid } from 'ulid'
 import { AnnouncedEndpoint } from './endpoint/announcedEndpoint.js'
 import { createAgentServer } from './http/createAgentServer.js'
@@ -52,25 +53,21 @@
   return { host, endpoint }
 }
 
+/** Slots are granted by each entry by itself, so that an agent holds a session with every one. */
 const createDialer = (settings: AgentSettings, host: TaskHost): EntryDialer => {
-  const incarnation = ulid()
-  const dialer: EntryDialer = new EntryDialer({
+  const { agentId, zone, clusterToken, keepAliveMs, sessionTimeoutMs: timeoutMs, seeds } = settings
+  const times = { keepAliveMs, timeoutMs }
+  const options = { host, agentId, incarnation: ulid(), zone, clusterToken, pulse: new Pulse({ busy: times, idle: times }) }
+  return new EntryDialer({
     clock: systemClock,
     random: Math.random,
-    seeds: settings.seeds,
-    dial: (address, signal) => dialEntry(address, {
-      host,
-      agentId: settings.agentId,
-      incarnation,
-      zone: settings.zone,
-      clusterToken: settings.clusterToken,
-      keepAliveMs: settings.keepAliveMs,
-      timeoutMs: settings.sessionTimeoutMs,
-      onEntries: (addresses) => dialer.onEntries(addresses),
-      signal
-    })
+    zone,
+    score: (address) => rendezvousScore(agentId, address),
+    limits: ALL_ENTRIES,
+    seeds,
+    seedPaceMs: 0,
+    dial: (address, handle) => dialEntry(address, options, handle)
   })
-  return dialer
 }
 
 const drainTasks = async (host: TaskHost): Promise<void> => {
--- a/packages/coordination/src/leased/configExchange.test.ts
+++ b/packages/coordination/src/leased/configExchange.test.ts
@@ -141,7 +141,7 @@
   })
 
   it('go together in an agent\'s frame, too', () => {
-    const sessions = new HostSessions({ now: () => 0 })
+    const sessions = new HostSessions(createFakeClock())
     const changes: Array<(frame: AgentFrame) => void> = []
     const add = (change: (frame: AgentFrame) => void): void => { changes.push(change) }
     sessions.begin('e', add, [], false)
--- a/packages/coordination/src/leased/hostSessions.ts
+++ b/packages/coordination/src/leased/hostSessions.ts
@@ -19,11 +19,22 @@
   toldStartsSeen: number
   /** The next frame carries the configuration document. */
   owesConfig: boolean
+  /** Results that the next frame carries. */
+  results: TaskResult[]
+  /** It will be ended; the entry sends no start on it any more. */
+  isRetired: boolean
 }
 
 /** Results of entries that never came back are dropped after this time. */
 const MAILBOX_MEMORY_MS = 30_000
 
+/**
+ * Longest wait of a result for those of the same job's other tasks here: they
+ * end within some 30 ms of each other where runs take 100 ms, and the answer
+ * waits for the last of them anyway.
+ */
+const RESULT_WAIT_MS = 30
+
 /** An agent's sessions with entries, with the results and the configuration that they carry. */
 export class HostSessions {
   /** By the entry's incarnation. */
@@ -31,7 +42,7 @@
   private readonly mailboxes: Mailboxes
   private readonly config = new ConfigCopy()
 
-  constructor (private readonly clock: Pick<Clock, 'now'>) {
+  constructor (private readonly clock: Pick<Clock, 'now' | 'after'>) {
     this.mailboxes = new Mailboxes(clock.now)
   }
 
@@ -58,7 +69,7 @@
    * @param isLeaving - no start is taken any more
    */
   begin (incarnation: string, add: AddToFrame, held: TaskKey[], isLeaving: boolean): void {
-    this.open.set(incarnation, { add, wantingPriority: undefined, told: { cpuMilli: 0, memoryMb: 0 }, startsSeen: 0, toldStartsSeen: 0, owesConfig: false })
+    this.open.set(incarnation, { add, wantingPriority: undefined, told: { cpuMilli: 0, memoryMb: 0 }, startsSeen: 0, toldStartsSeen: 0, owesConfig: false, isRetired: false, results: [] })
     const unacked = this.mailboxes.unackedOf(incarnation)
     add((frame) => {
       frame.resume = create(ResumeSchema, { held: [...held, ...unacked.map(({ key }) => key!)] })
@@ -71,10 +82,20 @@
     this.open.delete(incarnation)
   }
 
-  /** Tells an entry how a task of its ended, now or in its next session. */
-  tellResult (incarnation: string, result: TaskResult): void {
+  /**
+   * Tells an entry how a task of its ended, now or in its next session.
+   *
+   * @param isUrgent - false if the entry cannot do anything with it yet: it waits for the next frame, or a moment
+   */
+  tellResult (incarnation: string, result: TaskResult, isUrgent: boolean): void {
     this.mailboxes.put(incarnation, result)
-    this.open.get(incarnation)?.add((frame) => { frame.results.push(result) })
+    const session = this.open.get(incarnation)
+    if (session === undefined) return
+    const isFirst = session.results.length === 0
+    session.results.push(result)
+    // An entry with tasks that wait counts on what ends: it is told at once.
+    if (isUrgent || session.wantingPriority !== undefined) session.add(() => {})
+    else if (isFirst) this.clock.after(RESULT_WAIT_MS, () => { if (session.results.length > 0) session.add(() => {}) })
   }
 
   acknowledge (incarnation: string, seq: bigint): void {
@@ -84,10 +105,17 @@
   /** Tells an entry, or all of them, of the endpoint. */
   tellEndpoint (endpoint: EndpointState, leaving: boolean, incarnations: Iterable<string> = this.open.keys()): void {
     for (const incarnation of incarnations) {
-      this.open.get(incarnation)?.add((frame) => Object.assign(frame, { endpoint, leaving }))
+      const session = this.open.get(incarnation)
+      session?.add((frame) => Object.assign(frame, { endpoint, leaving: leaving || session.isRetired }))
     }
   }
 
+  /** The entry sends no start on this session any more: it will be ended. */
+  retire (session: LeasedSession): void {
+    session.isRetired = true
+    session.add((frame) => { frame.leaving = true })
+  }
+
   /** No start is taken any more. */
   tellLeaving (): void {
     for (const { add } of this.open.values()) add((frame) => { frame.leaving = true })
@@ -101,11 +129,14 @@
     session.add(() => {})
   }
 
-  /** Adds what a frame tells of the configuration, as it leaves: a document must go with its own version. */
+  /** Adds what a frame tells of the sessions and the configuration, as it leaves: a document must go with its own version. */
   stamp (incarnation: string, frame: AgentFrame): void {
+    frame.entries = this.open.size
     frame.configVersion = this.config.version
     const session = this.open.get(incarnation)
-    if (session?.owesConfig !== true) return
+    if (session === undefined) return
+    frame.results.push(...session.results.splice(0))
+    if (!session.owesConfig) return
     session.owesConfig = false
     frame.config = this.config.document
   }
--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -56,6 +56,8 @@
   echoedAt = 0
   /** Run times at its endpoint lately against the expected ones, as the agent sees those of all entries. */
   slowness = 1
+  /** Entries that share its endpoint, as it said last. */
+  entryCount = 1
   /** The agent was told that tasks wait here. */
   knowsWanting = false
   readonly config: AgentConfig
--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -204,7 +204,7 @@
   }
 
   private loadOf (service: string): LoadView {
-    return this.fleet.loadOf(service, this.options.entryCount())
+    return this.fleet.loadOf(service)
   }
 
   /** Stops runs that take far longer than others of their kind, so that they can run elsewhere. */
--- a/packages/coordination/src/leased/leasedDispatcherOptions.ts
+++ b/packages/coordination/src/leased/leasedDispatcherOptions.ts
@@ -22,8 +22,6 @@
 export interface LeasedDispatcherOptions extends LeasedFleetOptions {
   times: LeaseTimes
   events: LeasedDispatchEvents
-  /** Entries that share the endpoints, this one included. */
-  entryCount: () => number
   /** Runs `fn` after the events that are ready now. */
   defer: (fn: () => void) => void
 }
--- a/packages/coordination/src/leased/leasedFleet.ts
+++ b/packages/coordination/src/leased/leasedFleet.ts
@@ -92,17 +92,13 @@
     return milli
   }
 
-  /**
-   * What this entry serves of a service.
-   *
-   * @param entryCount - entries that share the endpoints
-   */
-  loadOf (service: string, entryCount: number): LoadView {
+  /** What this entry serves of a service. */
+  loadOf (service: string): LoadView {
     const { load } = this.serviceOf(service)
-    const capacityMilli = this.capacityMilli(service)
-    const isLearning = this.options.clock.now() - this.joinedAt < LEARN_MS || capacityMilli === 0
-    // Its part of all, or more if it has more.
-    const partMilli = isLearning ? Infinity : Math.max(this.runningMilli(service), capacityMilli / Math.max(1, entryCount))
+    // Each endpoint is shared by the entries that its agent has sessions with.
+    const shareMilli = this.agentsOf(service).reduce((sum, { capacity, entryCount }) => sum + capacity.cpuMilli / entryCount, 0)
+    const isLearning = this.options.clock.now() - this.joinedAt < LEARN_MS || shareMilli === 0
+    const partMilli = isLearning ? Infinity : Math.max(this.runningMilli(service), shareMilli)
     return { servedMilli: load.servedMilli(partMilli), moreUrgentMilli: (priority) => load.moreUrgentMilli(priority) }
   }
 
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -122,6 +122,15 @@
     this.offers.forget(incarnation)
   }
 
+  retireSession (incarnation: string, add: AddToFrame): void {
+    const session = this.sessions.find(incarnation, add)
+    if (session !== undefined) this.sessions.retire(session)
+  }
+
+  isBusyWith (incarnation: string): boolean {
+    return [...this.running, ...this.waiting].some(({ owner }) => owner === incarnation)
+  }
+
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
     const session = this.sessions.find(incarnation, add)
     if (session === undefined) return
@@ -228,7 +237,8 @@
   private tell (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs = 0): void {
     const result = create(TaskResultSchema, { key, outcome, reason, runMs })
     this.options.observe(result)
-    this.sessions.tellResult(owner, result)
+    const hasMoreHere = [...this.running, ...this.waiting].some((other) => other.owner === owner && other.key.submission === key.submission)
+    this.sessions.tellResult(owner, result, outcome !== TASK_OUTCOMES.done || !hasMoreHere)
   }
 
   private onRoom (): void {
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -102,12 +102,17 @@
     agent.echoedAt = clock.now()
   }
 
+  isBusyWith ({ sent }: LeasedAgent): boolean {
+    return sent.size > 0
+  }
+
   onFrame (agent: LeasedAgent, link: AgentLink, frame: AgentFrame): void {
     if (agent.link !== link) return
     const now = this.options.clock.now()
     agent.stampMs = frame.stampMs
     agent.heardAt = now
     if (frame.slowness > 0) agent.slowness = frame.slowness
+    agent.entryCount = Math.max(1, frame.entries)
     this.config.onFrame(agent, frame)
     if (frame.endpoint !== undefined) this.onEndpoint(agent, frame)
     else if (frame.leaving) this.onLeaving(agent)
--- a/packages/coordination/src/session/types.ts
+++ b/packages/coordination/src/session/types.ts
@@ -12,6 +12,10 @@
   onFrame: (incarnation: string, add: AddToFrame, frame: EntryFrame) => void
   /** Fills in what every frame carries. */
   stamp: (incarnation: string, frame: AgentFrame) => void
+  /** True while tasks of the entry are here; unset where every session counts as busy. */
+  isBusyWith?: (incarnation: string) => boolean
+  /** The session will be ended: the entry must send no start on it any more. */
+  retireSession?: (incarnation: string, add: AddToFrame) => void
 }
 
 /** The open session to an agent, as an entry uses it. */
@@ -31,4 +35,6 @@
   closed: (agent: Agent, link: AgentLink) => void
   /** Fills in what every frame carries. */
   stamp?: (agent: Agent, frame: EntryFrame) => void
+  /** True while orders to the agent are out; unset where every session counts as busy. */
+  isBusyWith?: (agent: Agent) => boolean
 }
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -143,7 +143,6 @@
       events: { ...EVENTS, configSeen: (_version, document) => this.documents.push({ entry: index, text: Buffer.from(document).toString() }) },
       setAsideShare: 0.4,
       setAsideBackoff: () => 1000,
-      entryCount: () => 1,
       defer: (fn) => { setImmediate(fn) }
     })
     return { incarnation: `e${index}-${this.counter++}`, dispatcher, jobs: new LeasedJobs(this.clock, dispatcher), isUp: true }
--- a/packages/entry/src/createEntryParts.ts
+++ b/packages/entry/src/createEntryParts.ts
@@ -213,6 +213,7 @@
     peers.keepOnly(new Set(core.directory.live.map(({ sessionAddress }) => sessionAddress)))
   })
   const { directory, dispatcher, watch, owned, claims, metrics, configStore } = core
+  const times = { keepAliveMs: settings.keepAliveMs, timeoutMs: settings.sessionTimeoutMs }
   const sessions = createSessions({
     dispatcher,
     observe: {
@@ -221,9 +222,8 @@
     },
     entryId: identity.entryId,
     incarnation: identity.incarnation,
-    keepAliveMs: settings.keepAliveMs,
-    timeoutMs: settings.sessionTimeoutMs,
-    entryAddresses: () => directory.serving.map(({ sessionAddress }) => sessionAddress)
+    pulse: { busy: times, idle: times },
+    entries: () => directory.serving.map(({ sessionAddress }) => ({ address: sessionAddress, zone: '' }))
   })
   const announcement = new EntryAnnouncement({ clock, directory, introduce: peers.introduce, seenAfterMs: settings.staleAfterMs })
   const jobs = createJobService(settings, identity, core, peers, announcement)
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -6,7 +6,9 @@
 import type { AgentLink, SessionDispatcher } from '@hazellift/coordination'
 import { EntryFrameSchema, EntryListSchema, WelcomeSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame, SessionService } from '@hazellift/protocol'
-import { startKeepAlive } from './startKeepAlive.js'
+import type { EntryPlace } from '@hazellift/decisions'
+import { Pulse } from './pulse.js'
+import type { PulseOptions } from './pulse.js'
 
 /** What sessions need. */
 export interface SessionOptions<Agent> {
@@ -15,12 +17,10 @@
   observe: { read: (frame: AgentFrame) => void, sent: (frame: EntryFrame) => void }
   entryId: string
   incarnation: string
-  /** Longest time without a frame to an agent. */
-  keepAliveMs: number
-  /** Silence of an agent after which its session is given up. */
-  timeoutMs: number
-  /** Session addresses of entries that agents should dial. */
-  entryAddresses: () => string[]
+  /** How often agents hear of this entry, and how long one may be silent. */
+  pulse: PulseOptions
+  /** Entries that agents may dial. */
+  entries: () => EntryPlace[]
 }
 
 /** Sessions open at this entry. */
@@ -37,7 +37,6 @@
   link: AgentLink
   /** Set once the agent said hello. */
   agent: Agent | undefined
-  lastSeenAt: number
   /** The last result that arrived; goes out with the next frame. */
   ackedSeq: bigint
 }
@@ -45,9 +44,8 @@
 const log = createLogger('entry:session')
 const newFrame = (): EntryFrame => create(EntryFrameSchema)
 
-const closeIfSilent = ({ lastSeenAt, link }: Session<unknown>, timeoutMs: number): void => {
-  if (performance.now() - lastSeenAt > timeoutMs) link.close()
-}
+/** Entries that come or go together are told of in one list: at the start of a fleet of 35, each of them would be one more. */
+const SPREAD_MS = 200
 
 /**
  * The agents' side of an entry's server: one task a session.
@@ -57,15 +55,17 @@
 export const createSessions = <Agent extends { agentId: string }>(options: SessionOptions<Agent>): Sessions => {
   const { dispatcher, observe, entryId, incarnation } = options
   const outboxes = new Set<Outbox<EntryFrame>>()
+  const pulse = new Pulse(options.pulse)
+  let spreading: NodeJS.Timeout | undefined
 
   const listEntries = (frame: EntryFrame): void => {
-    frame.entries = create(EntryListSchema, { addresses: options.entryAddresses() })
+    frame.entries = create(EntryListSchema, { entries: options.entries() })
   }
 
-  const read = async (frames: AsyncIterable<AgentFrame>, session: Session<Agent>): Promise<void> => {
+  const read = async (frames: AsyncIterable<AgentFrame>, session: Session<Agent>, seen: () => void): Promise<void> => {
     try {
       for await (const frame of frames) {
-        session.lastSeenAt = performance.now()
+        seen()
         observe.read(frame)
         if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
         if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
@@ -89,22 +89,24 @@
       acknowledge: (seq) => { session.ackedSeq = seq },
       close: () => outbox.close()
     }
-    const session: Session<Agent> = { link, agent: undefined, lastSeenAt: performance.now(), ackedSeq: 0n }
-    const keepAlive = startKeepAlive(options.keepAliveMs, () => link.add(() => {}))
-    const watchdog = setInterval(() => closeIfSilent(session, options.timeoutMs), options.keepAliveMs)
+    const session: Session<Agent> = { link, agent: undefined, ackedSeq: 0n }
+    const watched = pulse.watch({
+      isBusy: () => session.agent === undefined || dispatcher.isBusyWith?.(session.agent) !== false,
+      keepAlive: () => link.add(() => {}),
+      giveUp: link.close
+    })
     context.signal.addEventListener('abort', link.close)
-    void read(frames, session)
+    void read(frames, session, watched.seen)
     try {
       for await (const frame of outbox) {
         frame.ackedSeq = session.ackedSeq
         if (session.agent !== undefined) dispatcher.stamp?.(session.agent, frame)
         observe.sent(frame)
-        keepAlive.sent()
+        watched.sent()
         yield frame
       }
     } finally {
-      keepAlive.stop()
-      clearInterval(watchdog)
+      watched.stop()
       outboxes.delete(outbox)
       if (session.agent !== undefined) dispatcher.closed(session.agent, link)
     }
@@ -114,8 +116,16 @@
 
   return {
     service: { open },
-    spreadEntries: () => addToAll(listEntries),
+    spreadEntries: () => {
+      spreading ??= setTimeout(() => {
+        spreading = undefined
+        addToAll(listEntries)
+      }, SPREAD_MS)
+    },
     leave: () => addToAll((frame) => { frame.leaving = true }),
-    closeAll: () => { for (const outbox of outboxes) outbox.close() }
+    closeAll: () => {
+      clearTimeout(spreading)
+      for (const outbox of outboxes) outbox.close()
+    }
   }
 }
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -1,4 +1,4 @@
-import { setImmediate as yieldTurn } from 'node:timers/promises'
+import { setImmediate as yieldTurn, setTimeout as delay } from 'node:timers/promises'
 import { create } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { Interceptor } from '@connectrpc/connect'
@@ -8,24 +8,18 @@
 import type { AddToFrame, SessionHost } from '@hazellift/coordination'
 import { AgentFrameSchema, CLUSTER_TOKEN_HEADER, HelloSchema, SessionService } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
-import { startKeepAlive } from './startKeepAlive.js'
-import type { KeepAlive } from './startKeepAlive.js'
+import type { DialHandle } from './entryDialer.js'
+import type { Pulse, Watched } from './pulse.js'
 
-/** What a session needs. */
+/** What an agent's sessions need. */
 export interface DialOptions {
   host: SessionHost
   agentId: string
   incarnation: string
   zone: string
   clusterToken: string
-  /** Longest time without a frame to the entry. */
-  keepAliveMs: number
-  /** Silence of the entry after which the session is given up. */
-  timeoutMs: number
-  /** Told of the entries that an entry knows. */
-  onEntries: (addresses: string[]) => void
-  /** Ends the session. */
-  signal: AbortSignal
+  /** Looks after all sessions of the process. */
+  pulse: Pulse
 }
 
 /** The entry at the other end; its incarnation is empty until it said welcome. */
@@ -40,24 +34,8 @@
   return next(req)
 }
 
-/** Ends when the entry was silent for too long, or when it is told to. */
-const createWatchdog = ({ timeoutMs, signal }: DialOptions) => {
-  const controller = new AbortController()
-  let timer = setTimeout(() => controller.abort(), timeoutMs)
-  signal.addEventListener('abort', () => controller.abort(), { signal: controller.signal })
-  if (signal.aborted) controller.abort()
-  return {
-    signal: controller.signal,
-    seen: () => {
-      clearTimeout(timer)
-      timer = setTimeout(() => controller.abort(), timeoutMs)
-    },
-    stop: () => {
-      clearTimeout(timer)
-      controller.abort()
-    }
-  }
-}
+/** A session that is no longer wanted is looked at this often, whether anything of the entry is left here. */
+const RETIRE_CHECK_MS = 250
 
 const openOutbox = ({ agentId, incarnation, zone }: DialOptions): Outbox<AgentFrame> => {
   const outbox = new Outbox<AgentFrame>(() => create(AgentFrameSchema), () => yieldTurn())
@@ -66,14 +44,22 @@
 }
 
 /** Fills in each frame's stamp as it leaves, so that the stamp is fresh. */
-async function * stamped (host: SessionHost, outbox: Outbox<AgentFrame>, peer: Peer, keepAlive: KeepAlive): AsyncGenerator<AgentFrame> {
+async function * stamped (host: SessionHost, outbox: Outbox<AgentFrame>, peer: Peer, watched: Watched): AsyncGenerator<AgentFrame> {
   for await (const frame of outbox) {
     host.stamp(peer.incarnation, frame)
-    keepAlive.sent()
+    watched.sent()
     yield frame
   }
 }
 
+/** Ends a session that is no longer wanted: the entry sends no start any more, and what is here of it ends first. */
+const retire = async (host: SessionHost, peer: Peer, add: AddToFrame, over: AbortController): Promise<void> => {
+  if (peer.incarnation !== '') host.retireSession?.(peer.incarnation, add)
+  do await delay(RETIRE_CHECK_MS)
+  while (!over.signal.aborted && host.isBusyWith?.(peer.incarnation) === true)
+  over.abort()
+}
+
 const openStream = (address: string, options: DialOptions, frames: AsyncIterable<AgentFrame>, signal: AbortSignal): AsyncIterable<EntryFrame> => {
   const transport = createConnectTransport({
     baseUrl: `http://${address}`,
@@ -90,31 +76,41 @@
  *
  * @param address - the entry's session address
  * @param options - what a session needs
+ * @param handle - how the dialer steers it, and hears of it
  */
-export const dialEntry = async (address: string, options: DialOptions): Promise<void> => {
-  const { host, keepAliveMs, onEntries } = options
+export const dialEntry = async (address: string, options: DialOptions, handle: DialHandle): Promise<void> => {
+  const { host, pulse } = options
   const outbox = openOutbox(options)
   const add: AddToFrame = (change) => outbox.add(change)
-  const watchdog = createWatchdog(options)
-  const keepAlive = startKeepAlive(keepAliveMs, () => outbox.add(() => {}))
+  const over = new AbortController()
+  const { signal } = over
   const peer: Peer = { incarnation: '' }
+  const watched = pulse.watch({
+    // Until the entry has said welcome, its silence must be noticed soon.
+    isBusy: () => peer.incarnation === '' || host.isBusyWith?.(peer.incarnation) !== false,
+    keepAlive: () => outbox.add(() => {}),
+    giveUp: () => over.abort()
+  })
+  handle.signal.addEventListener('abort', () => over.abort(), { signal })
+  if (handle.signal.aborted) over.abort()
+  handle.retired.addEventListener('abort', () => { void retire(host, peer, add, over) }, { signal })
   try {
-    const frames = stamped(host, outbox, peer, keepAlive)
-    for await (const frame of openStream(address, options, frames, watchdog.signal)) {
-      watchdog.seen()
+    for await (const frame of openStream(address, options, stamped(host, outbox, peer, watched), signal)) {
+      watched.seen()
       if (frame.welcome !== undefined) {
         peer.incarnation = frame.welcome.incarnation
         log('session_open', { address, entry: frame.welcome.entryId })
         host.openSession(peer.incarnation, add)
+        handle.onOpen()
       }
-      if (frame.entries !== undefined) onEntries(frame.entries.addresses)
+      if (frame.entries !== undefined) handle.onEntries(frame.entries.entries)
       if (peer.incarnation !== '') host.onFrame(peer.incarnation, add, frame)
     }
   } catch (err) {
     log('session_ended', { address, error: errorMessage(err) })
   } finally {
-    keepAlive.stop()
-    watchdog.stop()
+    watched.stop()
+    over.abort()
     outbox.close()
     if (peer.incarnation !== '') host.closeSession(peer.incarnation, add)
   }
--- a/packages/sessions/src/entryDialer.ts
+++ b/packages/sessions/src/entryDialer.ts
@@ -1,92 +1,198 @@
 import { createBackoff, createLogger } from '@hazellift/common'
 import type { Clock, Random } from '@hazellift/common'
+import { choosePart } from '@hazellift/decisions'
+import type { EntryPlace, PartLimits } from '@hazellift/decisions'
+import { KnownEntries } from './knownEntries.js'
+
+/** How the dialer steers one session, and hears of it. */
+export interface DialHandle {
+  /** Ends the session at once. */
+  signal: AbortSignal
+  /** Ends the session once nothing of the entry is in the agent's hands. */
+  retired: AbortSignal
+  /** The entry has said welcome. */
+  onOpen: () => void
+  /** The entry told of those that it knows. */
+  onEntries: (entries: EntryPlace[]) => void
+}
 
 /** What the dialer needs. */
 export interface EntryDialerOptions {
   clock: Clock
   random: Random
+  /** The agent's availability zone. */
+  zone: string
+  /** Score of an entry for this agent; the highest are preferred. */
+  score: (address: string) => number
+  /** How many entries the agent holds sessions with. */
+  limits: PartLimits
+  /** Addresses to begin with, before any entry is known. */
   seeds: string[]
+  /** Pause before each seed; once an entry is known, no further seed is dialled. */
+  seedPaceMs: number
   /** Holds one session until it ends. */
-  dial: (address: string, signal: AbortSignal) => Promise<void>
+  dial: (address: string, handle: DialHandle) => Promise<void>
 }
 
 const BACKOFF = { baseMs: 50, maxMs: 2000 }
 /** A session that lasted this long counts as a success, so that the next dial is quick again. */
 const STABLE_MS = 2000
-/** A dial that has not failed for so long has a session. */
-const LASTING_MS = 700
-/** Dials that fail one after the other before an entry that no other entry lists is given up. */
+/** Dials that fail one after the other before an entry that nobody lists is given up. */
 const GIVE_UP_FAILURES = 8
+/** A process that was killed is back sooner; one that is gone for longer is replaced by another entry. */
+const LOST_MS = 1000
+/** So long an entry that was given up counts as lost, so that another one is tried. */
+const LOST_MEMORY_MS = 10_000
+/** So long a session is kept that is no longer wanted: lists and losses come and go. */
+const RETIRE_MS = 3000
+
+/** Sessions with one entry, one after the other. */
+interface Dial {
+  readonly stopped: AbortController
+  readonly retired: AbortController
+  isOpen: boolean
+  /** When the last session ended, or when dialling began. */
+  closedAt: number
+  /** Since when it is not wanted. */
+  unwantedSince: number | undefined
+}
+
+/** Stands for a source that is no entry. */
+const LOOKED_UP = ''
 
 const log = createLogger('agent:dialer')
 
 /**
- * Holds a session with every live entry: the seeds at first, then those that
- * any entry lists.
+ * Holds sessions with a part of the live entries: the seeds at first, then those
+ * that `choosePart` chooses of all that any entry lists.
  */
 export class EntryDialer {
-  private readonly dialing = new Set<string>()
-  private listed: Set<string>
+  private readonly dials = new Map<string, Dial>()
+  /** When entries were given up that could not be reached. */
+  private readonly lostAt = new Map<string, number>()
+  private readonly known = new KnownEntries()
   private readonly seeds: Set<string>
-  private readonly lasting = new Set<string>()
-  private readonly controller = new AbortController()
+  private isStopped = false
 
   constructor (private readonly options: EntryDialerOptions) {
     this.seeds = new Set(options.seeds)
-    this.listed = new Set(options.seeds)
   }
 
-  /** Dials the seeds. */
+  /** Dials the seeds, in the order in which this agent prefers them. */
   start (): void {
-    for (const address of this.seeds) this.add(address)
+    const { score, seedPaceMs, clock } = this.options
+    const ranked = [...this.seeds].sort((a, b) => score(b) - score(a))
+    for (const [index, address] of ranked.entries()) {
+      if (seedPaceMs === 0) this.begin(address)
+      else clock.after((index + 1) * seedPaceMs, () => { if (this.known.isEmpty) this.begin(address) })
+    }
   }
 
-  /** Sessions that have lasted for a while. */
+  /** Sessions that stand now. */
   get openSessions (): number {
-    return this.lasting.size
+    let open = 0
+    for (const { isOpen } of this.dials.values()) if (isOpen) open++
+    return open
   }
 
   /** Further addresses to begin with. */
   addSeeds (addresses: string[]): void {
     for (const address of addresses) this.seeds.add(address)
-    this.onEntries([...this.listed, ...addresses])
+    if (this.openSessions === 0) this.dialSeeds()
+  }
+
+  /** Dials the seeds once more, where no session stands. */
+  dialSeeds (): void {
+    for (const address of this.seeds) this.begin(address)
+  }
+
+  /** Entries were looked up elsewhere; counts until an entry tells of those that it knows. */
+  onLookedUp (entries: EntryPlace[]): void {
+    this.known.set(LOOKED_UP, entries)
+    this.update()
   }
 
-  /** An entry told which ones live. */
-  onEntries (addresses: string[]): void {
-    this.listed = new Set([...this.seeds, ...addresses])
-    for (const address of addresses) this.add(address)
+  private onEntries (address: string, entries: EntryPlace[]): void {
+    this.known.set(address, entries)
+    this.known.forget(LOOKED_UP)
+    this.update()
   }
 
   /** Ends all sessions. */
   stop (): void {
-    this.controller.abort()
+    this.isStopped = true
+    for (const { stopped } of this.dials.values()) stopped.abort()
   }
 
-  private add (address: string): void {
-    if (this.dialing.has(address) || this.controller.signal.aborted) return
-    this.dialing.add(address)
-    void this.hold(address)
+  /** Begins what is wanted, and ends what has not been for a while. */
+  private update (): void {
+    if (this.isStopped || this.known.isEmpty) return
+    const { zone, score, limits, clock } = this.options
+    const wanted = choosePart(this.known.all, { zone, score, isLost: (address) => this.isLost(address) }, limits)
+    for (const address of wanted) this.begin(address)
+    for (const [address, dial] of this.dials) {
+      if (wanted.has(address)) dial.unwantedSince = undefined
+      else if (!dial.isOpen) dial.retired.abort()
+      else if (dial.unwantedSince === undefined) this.leaveUnwanted(dial, clock.now())
+    }
+  }
+
+  private leaveUnwanted (dial: Dial, now: number): void {
+    dial.unwantedSince = now
+    this.options.clock.after(RETIRE_MS, () => { if (dial.unwantedSince === now) dial.retired.abort() })
+  }
+
+  private begin (address: string): void {
+    if (this.dials.has(address) || this.isStopped) return
+    const dial = { stopped: new AbortController(), retired: new AbortController(), isOpen: false, closedAt: this.options.clock.now(), unwantedSince: undefined }
+    this.dials.set(address, dial)
+    void this.hold(address, dial)
   }
 
-  private async hold (address: string): Promise<void> {
-    const { clock, random, dial } = this.options
+  private async hold (address: string, dial: Dial): Promise<void> {
+    const { clock, random } = this.options
     const backoff = createBackoff(BACKOFF, random)
     let failures = 0
-    while (!this.controller.signal.aborted && !this.isGivenUp(address, failures)) {
+    while (!this.isOver(address, dial, failures)) {
       const startedAt = clock.now()
-      const cancelLasting = clock.after(LASTING_MS, () => this.lasting.add(address))
-      await dial(address, this.controller.signal)
-      cancelLasting()
-      this.lasting.delete(address)
+      await this.dialOnce(address, dial)
       failures = clock.now() - startedAt > STABLE_MS ? 1 : failures + 1
-      await clock.sleep(backoff(failures))
+      this.update()
+      if (!dial.retired.signal.aborted) await clock.sleep(backoff(failures))
     }
-    this.dialing.delete(address)
-    log('entry_dropped', { address })
+    this.dials.delete(address)
+    this.known.forget(address)
+    if (clock.now() - dial.closedAt >= LOST_MS) this.lostAt.set(address, clock.now())
+    log('entry_dropped', { address, retired: dial.retired.signal.aborted })
+    this.update()
+  }
+
+  private async dialOnce (address: string, dial: Dial): Promise<void> {
+    const { clock, dial: open } = this.options
+    await open(address, {
+      signal: dial.stopped.signal,
+      retired: dial.retired.signal,
+      onOpen: () => {
+        dial.isOpen = true
+        this.lostAt.delete(address)
+        this.update()
+      },
+      onEntries: (entries) => this.onEntries(address, entries)
+    })
+    if (dial.isOpen) dial.closedAt = clock.now()
+    dial.isOpen = false
+  }
+
+  private isOver (address: string, { retired }: Dial, failures: number): boolean {
+    if (this.isStopped || retired.signal.aborted) return true
+    return failures >= GIVE_UP_FAILURES && !this.seeds.has(address) && !this.known.all.some((entry) => entry.address === address)
   }
 
-  private isGivenUp (address: string, failures: number): boolean {
-    return failures >= GIVE_UP_FAILURES && !this.listed.has(address)
+  /** True for an entry that could not be reached for a while. */
+  private isLost (address: string): boolean {
+    const now = this.options.clock.now()
+    const dial = this.dials.get(address)
+    if (dial !== undefined) return !dial.isOpen && now - dial.closedAt >= LOST_MS
+    return now - (this.lostAt.get(address) ?? -Infinity) < LOST_MEMORY_MS
   }
 }
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -2,3 +2,4 @@
 export * from './createSessions.js'
 export * from './dialEntry.js'
 export * from './entryDialer.js'
+export * from './pulse.js'
