--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -47,56 +47,52 @@
 /** Entries that come or go together are told of in one list: at the start of a fleet of 35, each of them would be one more. */
 const SPREAD_MS = 200
 
-/**
- * The agents' side of an entry's server: one task a session.
- *
- * @param options - what sessions need
- */
-export const createSessions = <Agent extends { agentId: string }>(options: SessionOptions<Agent>): Sessions => {
-  const { dispatcher, observe, entryId, incarnation } = options
-  const outboxes = new Set<Outbox<EntryFrame>>()
-  const pulse = new Pulse(options.pulse)
-  let spreading: NodeJS.Timeout | undefined
-
-  const listEntries = (frame: EntryFrame): void => {
-    frame.entries = create(EntryListSchema, { entries: options.entries() })
+/** The agents' side of an entry's server: one task a session. */
+class AgentSessions<Agent extends { agentId: string }> implements Sessions {
+  private readonly outboxes = new Set<Outbox<EntryFrame>>()
+  private readonly pulse: Pulse
+  private spreading: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: SessionOptions<Agent>) {
+    this.pulse = new Pulse(options.pulse)
   }
 
-  const read = async (frames: AsyncIterable<AgentFrame>, session: Session<Agent>, seen: () => void): Promise<void> => {
-    try {
-      for await (const frame of frames) {
-        seen()
-        observe.read(frame)
-        if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
-        if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
-      }
-    } catch (err) {
-      log('session_broken', { agent: session.agent?.agentId, error: errorMessage(err) })
-    } finally {
-      session.link.close()
-    }
+  readonly service: Sessions['service'] = { open: (frames, context) => this.open(frames, context) }
+
+  spreadEntries = (): void => {
+    this.spreading ??= setTimeout(() => {
+      this.spreading = undefined
+      this.addToAll(this.listEntries)
+    }, SPREAD_MS)
   }
 
-  async function * open (frames: AsyncIterable<AgentFrame>, context: HandlerContext): AsyncGenerator<EntryFrame> {
-    const outbox = new Outbox(newFrame, () => yieldTurn())
-    outboxes.add(outbox)
-    outbox.add((frame) => {
-      frame.welcome = create(WelcomeSchema, { entryId, incarnation })
-      listEntries(frame)
-    })
-    const link: AgentLink = {
-      add: (add) => outbox.add(add),
-      acknowledge: (seq) => { session.ackedSeq = seq },
-      close: () => outbox.close()
-    }
+  leave = (): void => this.addToAll((frame) => { frame.leaving = true })
+
+  closeAll = (): void => {
+    clearTimeout(this.spreading)
+    for (const outbox of this.outboxes) outbox.close()
+  }
+
+  private addToAll (add: (frame: EntryFrame) => void): void {
+    for (const outbox of this.outboxes) outbox.add(add)
+  }
+
+  private readonly listEntries = (frame: EntryFrame): void => {
+    frame.entries = create(EntryListSchema, { entries: this.options.entries() })
+  }
+
+  private async * open (frames: AsyncIterable<AgentFrame>, context: HandlerContext): AsyncGenerator<EntryFrame> {
+    const { dispatcher, observe } = this.options
+    const outbox = this.welcome()
+    const link: AgentLink = { add: (add) => outbox.add(add), acknowledge: (seq) => { session.ackedSeq = seq }, close: () => outbox.close() }
     const session: Session<Agent> = { link, agent: undefined, ackedSeq: 0n }
-    const watched = pulse.watch({
+    const watched = this.pulse.watch({
       isBusy: () => session.agent === undefined || dispatcher.isBusyWith?.(session.agent) !== false,
       keepAlive: () => link.add(() => {}),
       giveUp: link.close
     })
     context.signal.addEventListener('abort', link.close)
-    void read(frames, session, watched.seen)
+    void this.read(frames, session, watched.seen)
     try {
       for await (const frame of outbox) {
         frame.ackedSeq = session.ackedSeq
@@ -107,25 +103,43 @@
       }
     } finally {
       watched.stop()
-      outboxes.delete(outbox)
+      this.outboxes.delete(outbox)
       if (session.agent !== undefined) dispatcher.closed(session.agent, link)
     }
   }
 
-  const addToAll = (add: (frame: EntryFrame) => void): void => { for (const outbox of outboxes) outbox.add(add) }
-
-  return {
-    service: { open },
-    spreadEntries: () => {
-      spreading ??= setTimeout(() => {
-        spreading = undefined
-        addToAll(listEntries)
-      }, SPREAD_MS)
-    },
-    leave: () => addToAll((frame) => { frame.leaving = true }),
-    closeAll: () => {
-      clearTimeout(spreading)
-      for (const outbox of outboxes) outbox.close()
+  /** The first frame of a session waits in its outbox. */
+  private welcome (): Outbox<EntryFrame> {
+    const { entryId, incarnation } = this.options
+    const outbox = new Outbox(newFrame, () => yieldTurn())
+    this.outboxes.add(outbox)
+    outbox.add((frame) => {
+      frame.welcome = create(WelcomeSchema, { entryId, incarnation })
+      this.listEntries(frame)
+    })
+    return outbox
+  }
+
+  private async read (frames: AsyncIterable<AgentFrame>, session: Session<Agent>, seen: () => void): Promise<void> {
+    const { dispatcher, observe } = this.options
+    try {
+      for await (const frame of frames) {
+        seen()
+        observe.read(frame)
+        if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
+        if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
+      }
+    } catch (err) {
+      log('session_broken', { agent: session.agent?.agentId, error: errorMessage(err) })
+    } finally {
+      session.link.close()
     }
   }
 }
+
+/**
+ * Sessions of an entry with its agents.
+ *
+ * @param options - what sessions need
+ */
+export const createSessions = <Agent extends { agentId: string }>(options: SessionOptions<Agent>): Sessions => new AgentSessions(options)
