--- a/packages/lab/src/figures.ts
+++ b/packages/lab/src/figures.ts
@@ -16,6 +16,10 @@
 /** What a run counts besides outcomes. */
 export interface Counts {
   frames: number
+  bytes: number
+  /** Shares of a core that processes of each role used on average, as far as they are charged. */
+  entryCores: number
+  agentCores: number
   starts: number
   /** Starts that found no room. */
   startsInVain: number
@@ -52,6 +56,10 @@
   /** Mean of response time over the longest run, of those served. */
   slowdown: number
   framesPerTask: number
+  bytesPerTask: number
+  /** Shares of a core. */
+  entryCores: number
+  agentCores: number
   startsInVain: number
   connections: number
   /** Core-seconds. */
@@ -111,7 +119,7 @@
 
 /** Nothing counted yet. */
 export const newCounts = (): Counts => ({
-  frames: 0, starts: 0, startsInVain: 0, connections: 0, wasted: 0, tasksDone: 0, looksWaiting: 0, idleSum: 0, violations: []
+  frames: 0, bytes: 0, entryCores: 0, agentCores: 0, starts: 0, startsInVain: 0, connections: 0, wasted: 0, tasksDone: 0, looksWaiting: 0, idleSum: 0, violations: []
 })
 
 /** Sums a run up. */
@@ -132,6 +140,9 @@
     idleWhileWaiting: counts.idleSum / Math.max(1, counts.looksWaiting),
     slowdown: served.reduce((sum, { ms, arrival }) => sum + ms / arrival.job.longestMs, 0) / Math.max(1, served.length),
     framesPerTask: counts.frames / Math.max(1, counts.tasksDone),
+    bytesPerTask: counts.bytes / Math.max(1, counts.tasksDone),
+    entryCores: counts.entryCores,
+    agentCores: counts.agentCores,
     startsInVain: counts.startsInVain / Math.max(1, counts.starts),
     connections: counts.connections,
     wasted: counts.wasted,
--- a/packages/lab/src/frameSender.ts
+++ b/packages/lab/src/frameSender.ts
@@ -12,8 +12,10 @@
   empty: () => Frame
   /** Fills in what every frame carries, as it leaves. */
   stamp: (frame: Frame) => void
+  /** Its size on the wire. */
+  bytesOf: (frame: Frame) => number
   /** The frame is on its way. */
-  deliver: (frame: Frame, delayMs: number) => void
+  deliver: (frame: Frame, delayMs: number, bytes: number) => void
 }
 
 /** What one side of a session sends: parts that are ready together go in one frame. */
@@ -36,13 +38,14 @@
   }
 
   private flush (): void {
-    const { world, delayMs, stamp, deliver } = this.options
+    const { world, process, delayMs, stamp, bytesOf, deliver } = this.options
     const frame = this.pending!
     this.pending = undefined
     stamp(frame)
     this.sentAt = world.now()
     // One stream: no frame overtakes another.
-    this.arrivesAt = Math.max(world.now() + delayMs, this.arrivesAt)
-    deliver(frame, this.arrivesAt - world.now())
+    const bytes = bytesOf(frame)
+    this.arrivesAt = Math.max(world.now() + process.send(bytes) + delayMs, this.arrivesAt)
+    deliver(frame, this.arrivesAt - world.now(), bytes)
   }
 }
--- a/packages/lab/src/labProcess.ts
+++ b/packages/lab/src/labProcess.ts
@@ -1,16 +1,26 @@
 import type { Clock } from '@hazellift/common'
 
+const BITS = 8
+/** Bits that a megabit a second carries in a ms. */
+const BITS_OF_MEGABIT_MS = 1000
+
 /** One process of the system: what it does takes its share of a processor, and stops with it. */
 export class LabProcess {
   isUp = true
+  /** Processor time that its work took, in ms of a whole core. */
+  workedMs = 0
   private frozenUntil = 0
   private busyUntil = 0
+  /** Until when the machine's link is taken, by direction. */
+  private sendingUntil = 0
+  private receivingUntil = 0
 
   /**
    * @param world - the world's clock
    * @param cores - its share of a core
+   * @param megabits - what its link carries each way, a second
    */
-  constructor (private readonly world: Clock, private readonly cores: number) {}
+  constructor (private readonly world: Clock, private readonly cores: number, private readonly megabits = Infinity) {}
 
   /** The clock that the process's code sees: its timers wait while it stands still, and end with it. */
   readonly clock: Clock = {
@@ -35,10 +45,34 @@
    */
   work (costMs: number, fn: () => void): void {
     const now = this.world.now()
+    this.workedMs += costMs
     this.busyUntil = Math.max(now, this.busyUntil, this.frozenUntil) + costMs / this.cores
     this.world.after(this.busyUntil - now, () => this.run(fn))
   }
 
+  /**
+   * Puts bytes on the machine's link, behind those before them.
+   *
+   * @returns until they have left, in ms
+   */
+  send (bytes: number): number {
+    const now = this.world.now()
+    this.sendingUntil = Math.max(now, this.sendingUntil) + this.linkMs(bytes)
+    return this.sendingUntil - now
+  }
+
+  /** Runs something once bytes have come in over the machine's link, behind those before them. */
+  receive (bytes: number, fn: () => void): void {
+    const now = this.world.now()
+    this.receivingUntil = Math.max(now, this.receivingUntil) + this.linkMs(bytes)
+    if (this.receivingUntil === now) return fn()
+    this.world.after(this.receivingUntil - now, fn)
+  }
+
+  private linkMs (bytes: number): number {
+    return bytes * BITS / (this.megabits * BITS_OF_MEGABIT_MS)
+  }
+
   /** The process stands still. */
   freeze (ms: number): void {
     this.frozenUntil = Math.max(this.frozenUntil, this.world.now() + ms)
--- a/packages/lab/src/labSession.ts
+++ b/packages/lab/src/labSession.ts
@@ -1,10 +1,10 @@
-import { create } from '@bufbuild/protobuf'
+import { create, toBinary } from '@bufbuild/protobuf'
 import type { Clock } from '@hazellift/common'
 import type { AddToFrame, AgentLink, LeasedAgent } from '@hazellift/coordination'
 import { AgentFrameSchema, EntryFrameSchema, HelloSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
 import { FrameSender } from './frameSender.js'
-import type { LabAgent, LabEntry, LinkTimes } from './labLink.js'
+import type { LabAgent, LabEntry, LinkTimes, SideTimes } from './labLink.js'
 import type { LabProcess } from './labProcess.js'
 
 /** What a session needs. */
@@ -18,7 +18,7 @@
   /** True while nothing arrives, no end of a connection either. */
   isSilent: () => boolean
   /** A frame is on its way; `fn` reads it. */
-  arrive: (delayMs: number, to: LabProcess, fn: () => void) => void
+  arrive: (delayMs: number, bytes: number, to: LabProcess, fn: () => void) => void
   /** Both sides have ended. */
   onOver: () => void
 }
@@ -28,10 +28,18 @@
   isOpen: boolean
   readAt: number
   process: LabProcess
+  times: SideTimes
+  /** True while orders are out. */
+  isBusy: () => boolean
   /** Tells the program that the session has ended. */
   onEnd: () => void
 }
 
+/** How often silence is looked for. */
+const WATCH_MS = 125
+/** How often a session that is not wanted any more is looked at. */
+const RETIRE_CHECK_MS = 250
+
 /** One session of an agent with an entry, from its dialling until both sides have ended. */
 export class LabSession {
   private readonly agentSide: Side
@@ -45,35 +53,62 @@
   constructor (private readonly options: LabSessionOptions) {
     const { world, agent, entry, times, delayMs } = options
     const now = world.now()
-    this.agentSide = { isOpen: true, readAt: now, process: agent.process, onEnd: () => agent.host.closeSession(entry.incarnation, this.add) }
+    this.agentSide = {
+      isOpen: true,
+      readAt: now,
+      process: agent.process,
+      times: times.agent,
+      isBusy: () => agent.host.isBusyWith(entry.incarnation),
+      onEnd: () => agent.host.closeSession(entry.incarnation, this.add)
+    }
     this.entrySide = {
-      isOpen: true, readAt: now, process: entry.process, onEnd: () => { if (this.handle !== undefined) entry.dispatcher.sessions.closed(this.handle, this.link) }
+      isOpen: true,
+      readAt: now,
+      process: entry.process,
+      times: times.entry,
+      isBusy: () => this.handle !== undefined && entry.dispatcher.sessions.isBusyWith(this.handle),
+      onEnd: () => { if (this.handle !== undefined) entry.dispatcher.sessions.closed(this.handle, this.link) }
     }
     this.link = {
       add: (change) => { if (this.entrySide.isOpen) this.toAgent.add(change) },
       acknowledge: (seq) => { this.acked = seq },
       close: () => this.end(this.entrySide)
     }
+    const { frameBytes } = times
     const common = { world, costMs: times.frameCostMs, delayMs }
     this.toEntry = new FrameSender<AgentFrame>({
       ...common,
       process: agent.process,
       empty: () => create(AgentFrameSchema),
       stamp: (frame) => { if (this.agentSide.isOpen) agent.host.stamp(entry.incarnation, frame) },
-      deliver: (frame, ms) => options.arrive(ms, entry.process, () => this.atEntry(frame))
+      bytesOf: (frame) => frameBytes + toBinary(AgentFrameSchema, frame).length,
+      deliver: (frame, ms, bytes) => options.arrive(ms, bytes, entry.process, () => this.atEntry(frame))
     })
     this.toAgent = new FrameSender<EntryFrame>({
       ...common,
       process: entry.process,
       empty: () => create(EntryFrameSchema),
       stamp: (frame) => this.stamp(frame),
-      deliver: (frame, ms) => options.arrive(ms, agent.process, () => this.atAgent(frame))
+      bytesOf: (frame) => frameBytes + toBinary(EntryFrameSchema, frame).length,
+      deliver: (frame, ms, bytes) => options.arrive(ms, bytes, agent.process, () => this.atAgent(frame))
     })
     agent.host.openSession(entry.incarnation, this.add)
     this.add((frame) => { frame.hello = create(HelloSchema, { agentId: agent.id, incarnation: agent.incarnation, zone: agent.zone }) })
     for (const side of [this.agentSide, this.entrySide]) this.watch(side)
-    this.keepAlive(this.agentSide, this.toEntry, times.keepAliveMs)
-    this.keepAlive(this.entrySide, this.toAgent, times.entryKeepAliveMs)
+    this.keepAlive(this.agentSide, this.toEntry)
+    this.keepAlive(this.entrySide, this.toAgent)
+  }
+
+  /** The agent does not want it any more: it ends once nothing of the entry is left there. */
+  retire (): void {
+    const { agent, entry } = this.options
+    agent.host.retireSession(entry.incarnation, this.add)
+    const check = (): void => {
+      if (!this.agentSide.isOpen) return
+      if (agent.host.isBusyWith(entry.incarnation)) agent.process.clock.after(RETIRE_CHECK_MS, check)
+      else this.end(this.agentSide)
+    }
+    agent.process.clock.after(RETIRE_CHECK_MS, check)
   }
 
   /** A process has ended: its side is gone, and the other one hears of it. */
@@ -115,17 +150,24 @@
     if (!other.isOpen) onOver()
   }
 
+  private timesOf (side: Side): SideTimes['busy'] {
+    return side.isBusy() ? side.times.busy : side.times.idle
+  }
+
   private watch (side: Side): void {
-    const { world, times } = this.options
+    const { world } = this.options
     if (!side.isOpen || !side.process.isUp) return
-    if (world.now() - side.readAt > times.timeoutMs) return this.end(side)
-    side.process.clock.after(times.timeoutMs / 4, () => this.watch(side))
+    const { timeoutMs } = this.timesOf(side)
+    if (world.now() - side.readAt > timeoutMs) return this.end(side)
+    side.process.clock.after(WATCH_MS, () => this.watch(side))
   }
 
-  private keepAlive (side: Side, sender: Pick<FrameSender<object>, 'sentAt' | 'add'>, everyMs: number): void {
+  /** Looks as often as a busy session must show that it lives. */
+  private keepAlive (side: Side, sender: Pick<FrameSender<object>, 'sentAt' | 'add'>): void {
     if (!side.isOpen) return
-    const dueMs = sender.sentAt + everyMs - this.options.world.now()
-    if (dueMs <= 0) sender.add(() => {})
-    side.process.clock.after(dueMs <= 0 ? everyMs : dueMs, () => this.keepAlive(side, sender, everyMs))
+    const quietMs = this.options.world.now() - sender.sentAt
+    if (quietMs >= this.timesOf(side).keepAliveMs) sender.add(() => {})
+    const { keepAliveMs } = side.times.busy
+    side.process.clock.after(quietMs >= keepAliveMs ? keepAliveMs : Math.max(1, keepAliveMs - quietMs), () => this.keepAlive(side, sender))
   }
 }
--- a/packages/lab/src/labWorld.ts
+++ b/packages/lab/src/labWorld.ts
@@ -1,9 +1,11 @@
+import { rendezvousScore } from '@hazellift/common'
 import type { Random } from '@hazellift/common'
 import { LeasedDispatcher, LeasedHost, LeasedJobs } from '@hazellift/coordination'
 import type { LeasedDispatchEvents, LeaseTimes, RunEnd, RunRef } from '@hazellift/coordination'
 import { fits } from '@hazellift/decisions'
-import type { Policy, Resources } from '@hazellift/decisions'
+import type { EntryPlace, Policy, Resources } from '@hazellift/decisions'
 import { REASONS } from '@hazellift/protocol'
+import { EntryDialer } from '@hazellift/sessions'
 import { createLabCaller } from './createLabCaller.js'
 import { sourceOf } from './draw.js'
 import { EventClock } from './eventClock.js'
@@ -25,11 +27,14 @@
 const SET_ASIDE_SHARE = 0.4
 const SET_ASIDE_MS = { base: 1000, most: 8000 }
 /** Purposes of random sources; those of the kinds of jobs are the numbers from 0. */
-const PURPOSES = { entries: 40, endpoints: 50, troubles: 62 } as const
+const PURPOSES = { entries: 40, endpoints: 50, dialers: 60, troubles: 62 } as const
 
 /** Name of the availability zone of this number. */
 export const zoneName = (zone: number): string => `zone-${zone}`
 
+/** Item of a list that is gone through by turns. */
+const turn = <T>(items: readonly T[], index: number): T => items[index % items.length]!
+
 /** A place for an entry's process, with the process that runs there now. */
 export interface EntrySlot extends LabEntry {
   jobs: LeasedJobs
@@ -50,21 +55,22 @@
   readonly clock = new EventClock()
   readonly entries: EntrySlot[]
   readonly agents: AgentSlot[]
-  readonly links: LabLink[] = []
+  /** By agent and entry. */
+  readonly links: LabLink[][]
   readonly counts: Counts = newCounts()
   /** Draws what troubles meet. */
   readonly random: Random
   private readonly jobs = new Map<string, DrawnJob>()
   private readonly running = new Map<string, number>()
   private lives = 0
+  private configVersion = 0n
 
   constructor (readonly scenario: Scenario, private readonly seed: number, private readonly policy: Policy) {
     this.random = sourceOf(seed, PURPOSES.troubles)
     this.agents = Array.from({ length: scenario.endpoints.count }, (_, index) => this.newAgent(index, this.newEndpoint(index)))
     this.entries = Array.from({ length: scenario.entries.count }, (_, index) => this.newEntry(index))
-    for (const { index: agent } of this.agents) {
-      for (let entry = 0; entry < this.entries.length; entry++) this.links.push(this.newLink(agent, entry))
-    }
+    this.links = this.agents.map(({ index: agent }) => this.entries.map((_, entry) => this.newLink(agent, entry)))
+    for (const agent of this.agents) this.startDialer(agent)
     this.look()
   }
 
@@ -82,7 +88,7 @@
   killEntry (index: number, downMs: number): void {
     const entry = this.entries[index]!
     entry.process.kill()
-    for (const link of this.links) if (link.entry() === entry) link.reset()
+    for (const links of this.links) links[index]!.reset()
     this.clock.after(downMs, () => { this.entries[index] = this.newEntry(index) })
   }
 
@@ -90,8 +96,11 @@
   killAgent (index: number, downMs: number): void {
     const agent = this.agents[index]!
     agent.process.kill()
-    for (const link of this.links) if (link.agent() === agent) link.reset()
-    this.clock.after(downMs, () => { this.agents[index] = this.newAgent(index, this.agents[index]!.endpoint) })
+    for (const link of this.links[index]!) link.reset()
+    this.clock.after(downMs, () => {
+      this.agents[index] = this.newAgent(index, this.agents[index]!.endpoint)
+      this.startDialer(this.agents[index]!)
+    })
   }
 
   /** The endpoint crashes; another life begins after a while, or never. */
@@ -118,10 +127,45 @@
     this.counts.idleSum += free / Math.max(1, all)
   }
 
+  /** A new version of the configuration is read by all entries that live. */
+  changeConfig (bytes: number): void {
+    const version = ++this.configVersion
+    const document = new Uint8Array(bytes).fill(Number(version))
+    for (const { process, dispatcher } of this.entries) if (process.isUp) dispatcher.sessions.setConfig(version, document)
+  }
+
+  /** Sums up what links carried and what processes worked. */
+  countUp (): void {
+    for (const link of this.links.flat()) {
+      this.counts.frames += link.frames
+      this.counts.bytes += link.bytes
+    }
+    const meanCores = (processes: LabProcess[]): number => processes.reduce((sum, { workedMs }) => sum + workedMs, 0) / processes.length / this.clock.now()
+    this.counts.entryCores = meanCores(this.entries.map(({ process }) => process))
+    this.counts.agentCores = meanCores(this.agents.map(({ process }) => process))
+  }
+
   private newLink (agent: number, entry: number): LabLink {
-    const link = new LabLink(this.clock, () => this.agents[agent]!, () => this.entries[entry]!)
-    link.start()
-    return link
+    return new LabLink({ world: this.clock, agent: () => this.agents[agent]!, entry: () => this.entries[entry]!, listed: () => this.places })
+  }
+
+  /** The rows of entries stay in the store while their processes are away. */
+  private get places (): EntryPlace[] {
+    return this.entries.map(({ zone }, index) => ({ address: String(index), zone }))
+  }
+
+  private startDialer ({ process, index, id, zone }: AgentSlot): void {
+    const dialer = new EntryDialer({
+      clock: process.clock,
+      random: sourceOf(this.seed + index, PURPOSES.dialers),
+      zone,
+      score: (address) => rendezvousScore(id, address),
+      limits: this.scenario.part,
+      seeds: [],
+      seedPaceMs: 0,
+      dial: (address, handle) => this.links[index]![Number(address)]!.dial(handle)
+    })
+    dialer.onLookedUp(this.places)
   }
 
   private zoneOf (index: number): string {
@@ -129,7 +173,8 @@
   }
 
   private newEntry (index: number): EntrySlot {
-    const process = new LabProcess(this.clock, this.scenario.entries.cores)
+    const { cores, megabits } = this.scenario.entries
+    const process = new LabProcess(this.clock, turn(cores, index), megabits === undefined ? Infinity : turn(megabits, index))
     const dispatcher = new LeasedDispatcher({
       clock: process.clock,
       random: sourceOf(this.seed + this.lives, PURPOSES.entries),
@@ -138,7 +183,6 @@
       events: { ...EVENTS, sent: (_job, _agent, tasks) => { this.counts.starts += tasks.length } },
       setAsideShare: SET_ASIDE_SHARE,
       setAsideBackoff: (times) => Math.min(SET_ASIDE_MS.most, SET_ASIDE_MS.base * 2 ** (times - 1)),
-      entryCount: () => this.entries.filter((entry) => entry.process.isUp).length,
       defer: (fn) => { process.clock.after(0, fn) },
       policy: this.policy
     })
--- a/packages/lab/src/playTroubles.ts
+++ b/packages/lab/src/playTroubles.ts
@@ -44,10 +44,19 @@
       for (const index of drawShare(random, [...entries.keys()], trouble.share)) world.killEntry(index, forMs + START_MS.entry)
       return undefined
     case 'silent_links': {
-      const silent = drawShare(random, links, trouble.share)
+      const silent = drawShare(random, links.flat(), trouble.share)
       for (const link of silent) link.setSilent(true)
       return () => { for (const link of silent) link.setSilent(false) }
     }
+    case 'config_changes': {
+      const change = (): void => {
+        world.changeConfig(trouble.bytes)
+        if (world.clock.now() + trouble.gapMs < until) world.clock.after(trouble.gapMs, change)
+      }
+      const until = world.clock.now() + forMs
+      change()
+      return undefined
+    }
     default: return assertNever(trouble)
   }
 }
--- a/packages/lab/src/runScenario.ts
+++ b/packages/lab/src/runScenario.ts
@@ -1,3 +1,4 @@
+import { rendezvousScore } from '@hazellift/common'
 import type { LeasedJobEnd, LeasedJobSpec } from '@hazellift/coordination'
 import type { Policy } from '@hazellift/decisions'
 import { inTimeBySecond, toFigures } from './figures.js'
@@ -25,6 +26,9 @@
 const CLIENT_MS = 1
 /** A caller whose connection breaks sends again, elsewhere. */
 const RESEND_MS = 1300
+/** Headers of a request and of its answer, with TCP and IP. */
+const REQUEST_BYTES = 400
+const ANSWER_BYTES = 250
 /** Processor time of a request at its entry. */
 const REQUEST_COST_MS = 0.4
 
@@ -33,7 +37,7 @@
   id: job.id,
   requestId: '',
   service: 's',
-  payload: 'p',
+  payload: 'p'.repeat(job.kind.payloadBytes),
   count: job.tasks.length,
   need: job.tasks[0]!.need,
   estimateMs: job.guessMs,
@@ -64,7 +68,8 @@
     if (leftMs <= 0) return this.over('left')
     if (entry === undefined) return this.again()
     this.tries++
-    world.clock.after(CLIENT_MS, () => entry.process.work(REQUEST_COST_MS, () => this.submit(entry, leftMs)))
+    const bytes = REQUEST_BYTES + arrival.job.kind.payloadBytes
+    world.clock.after(CLIENT_MS, () => entry.process.receive(bytes, () => entry.process.work(REQUEST_COST_MS, () => this.submit(entry, leftMs))))
     this.watch(entry, this.tries)
   }
 
@@ -77,7 +82,8 @@
       this.over('left')
     })
     void end.then((value) => {
-      if (entry.process.isUp) entry.process.work(REQUEST_COST_MS / 2, () => world.clock.after(CLIENT_MS, () => this.onAnswer(value)))
+      if (!entry.process.isUp) return
+      entry.process.work(REQUEST_COST_MS / 2, () => world.clock.after(entry.process.send(ANSWER_BYTES) + CLIENT_MS, () => this.onAnswer(value)))
     })
   }
 
@@ -97,6 +103,8 @@
     const up = this.world.entries.filter(({ process }) => process.isUp)
     const near = up.filter(({ zone }) => zone === zoneName(this.arrival.zone))
     const list = near.length > 0 && this.tries === 0 ? near : up
+    const { zone, client } = this.arrival
+    if (client !== undefined) return list[rendezvousScore(`${zone}.${client}`, String(this.tries)) % Math.max(1, list.length)]
     return list[(Math.floor(this.arrival.at) + this.tries) % Math.max(1, list.length)]
   }
 
@@ -130,6 +138,6 @@
   }
   playTroubles(world, WARM_UP_MS)
   await world.clock.runUntil(WARM_UP_MS + scenario.seconds * 1000 + FINISH_MS)
-  world.counts.frames = world.links.reduce((sum, { frames }) => sum + frames, 0)
+  world.countUp()
   return { figures: toFigures(outcomes, world.counts), seconds: inTimeBySecond(outcomes, scenario.seconds), violations: world.counts.violations }
 }
--- a/packages/lab/src/scenario.ts
+++ b/packages/lab/src/scenario.ts
@@ -1,7 +1,9 @@
 import { readFileSync } from 'node:fs'
+import { PART_LIMITS } from '@hazellift/decisions'
 import { parse } from 'smol-toml'
 import { z } from 'zod'
 
+const oneOrMore = <T extends z.ZodType>(item: T) => z.preprocess((value) => Array.isArray(value) ? value : [value], z.array(item).min(1))
 const share = z.number().min(0).max(1)
 const seconds = z.number().min(0)
 
@@ -27,7 +29,9 @@
   priority: z.number().int().min(0),
   attempts: z.number().int().min(1),
   /** Tasks that fail by their own fault. */
-  failShare: share.default(0.002)
+  failShare: share.default(0.002),
+  /** Of a request, and of what its tasks are started with. */
+  payloadBytes: z.number().int().min(0).default(0)
 })
 
 const whenSchema = { at: seconds, for: seconds.default(0) }
@@ -53,7 +57,9 @@
   /** Callers leave after a part of their time. */
   z.strictObject({ kind: z.literal('callers_leave'), ...whenSchema, share }),
   /** Jobs of which every task fails. */
-  z.strictObject({ kind: z.literal('hopeless_jobs'), ...whenSchema, share })
+  z.strictObject({ kind: z.literal('hopeless_jobs'), ...whenSchema, share }),
+  /** The configuration changes, again after each gap; `bytes` as packed. */
+  z.strictObject({ kind: z.literal('config_changes'), ...whenSchema, gapMs: z.number().positive(), bytes: z.number().int().min(1) })
 ])
 
 const scenarioSchema = z.strictObject({
@@ -61,7 +67,17 @@
   /** Length of the traffic. */
   seconds: z.number().positive().max(600),
   zones: z.number().int().min(1).default(3),
-  entries: z.strictObject({ count: z.number().int().min(1), cores: z.number().positive().default(0.675) }),
+  entries: z.strictObject({
+    count: z.number().int().min(1),
+    /** Shares of a core, by turns. */
+    cores: oneOrMore(z.number().positive()).default([0.675]),
+    /** What their links carry, in Mbit/s, by turns; without bound if none is given. */
+    megabits: oneOrMore(z.number().positive()).optional()
+  }),
+  /** How many entries an agent holds sessions with. */
+  part: z.strictObject({ near: z.number().int().min(0), far: z.number().int().min(0) }).default(PART_LIMITS),
+  /** Clients of each zone; all requests of one go to the entry that its hash gives. Without it requests are spread evenly. */
+  clientsPerZone: z.number().int().min(1).optional(),
   endpoints: z.strictObject({
     count: z.number().int().min(1),
     cpuMilli: z.number().positive(),
--- a/packages/lab/src/traffic.ts
+++ b/packages/lab/src/traffic.ts
@@ -10,6 +10,8 @@
   at: number
   job: DrawnJob
   zone: number
+  /** The client of its zone that sends it, where clients are told apart. */
+  client: number | undefined
   /** How long its caller waits, in ms. */
   patienceMs: number
   /** The answer is in time within so many ms. */
@@ -32,7 +34,7 @@
 
 const arrivalsOf = (scenario: Scenario, kind: JobKind, random: Random, prefix: string): Arrival[] => {
   const arrivals: Arrival[] = []
-  const { objective: { stretch, slackMs }, patience, zones, seconds } = scenario
+  const { objective: { stretch, slackMs }, patience, zones, seconds, clientsPerZone } = scenario
   for (let at = 0; ;) {
     at += gap(random, 1000 / rateOf(scenario, kind, at / 1000))
     if (at >= seconds * 1000) return arrivals
@@ -42,7 +44,9 @@
     const leaves = random() < shareOf(scenario, 'callers_leave', at / 1000)
     const part = LEAVE_SHARE.from + random() * (LEAVE_SHARE.to - LEAVE_SHARE.from)
     const patienceMs = patience * objectiveMs * (leaves ? part : 1)
-    arrivals.push({ at, job, zone: Math.floor(random() * zones), patienceMs, objectiveMs })
+    const zone = Math.floor(random() * zones)
+    const client = clientsPerZone === undefined ? undefined : Math.floor(random() * clientsPerZone)
+    arrivals.push({ at, job, zone, client, patienceMs, objectiveMs })
   }
 }
 
