An agent's part is five entries, and agents are asked for room a few at a time

Cause, from the lab at 35 x 160 and 0.93 of the capacity: with eight entries an agent, 44% of the capacity was free while jobs waited, at 15.4 frames a task: the processors of weak entries were taken by frames. Counted by content: signs of life, scarce room told, and the whole part asked for room at each moment in which a job found none.

Change: PART_LIMITS 3 and 2 instead of 5 and 3; six agents asked at once, the next ones after 10 ms while jobs still wait.

Trials, not kept: scarcity told only to entries that sent a start in the last 500 or 2000 ms: in vain 0.208 and 0.126 in the test of ten entries (bound 0.1), frames alike.

Tests: large-busy in lab.test.ts (0.938 and 0.883 on the code before, bounds 0.97 and 0.94; 20 frames, bound 15).

--- a/packages/coordination/src/leased/hostSessions.ts
+++ b/packages/coordination/src/leased/hostSessions.ts
@@ -25,6 +25,17 @@
   isRetired: boolean
 }
 
+const newSession = (add: AddToFrame): LeasedSession => ({
+  add,
+  wantingPriority: undefined,
+  told: { cpuMilli: 0, memoryMb: 0 },
+  startsSeen: 0,
+  toldStartsSeen: 0,
+  owesConfig: false,
+  results: [],
+  isRetired: false
+})
+
 /** Results of entries that never came back are dropped after this time. */
 const MAILBOX_MEMORY_MS = 30_000
 
@@ -69,7 +80,7 @@
    * @param isLeaving - no start is taken any more
    */
   begin (incarnation: string, add: AddToFrame, held: TaskKey[], isLeaving: boolean): void {
-    this.open.set(incarnation, { add, wantingPriority: undefined, told: { cpuMilli: 0, memoryMb: 0 }, startsSeen: 0, toldStartsSeen: 0, owesConfig: false, isRetired: false, results: [] })
+    this.open.set(incarnation, newSession(add))
     const unacked = this.mailboxes.unackedOf(incarnation)
     add((frame) => {
       frame.resume = create(ResumeSchema, { held: [...held, ...unacked.map(({ key }) => key!)] })
--- a/packages/coordination/src/leased/leasedFleet.ts
+++ b/packages/coordination/src/leased/leasedFleet.ts
@@ -13,6 +13,8 @@
   load: LoadRecord
   health: EndpointHealth
   isPumpDue: boolean
+  /** When agents were asked for room last. */
+  askedAt: number
 }
 
 /** What the fleet needs. */
@@ -68,7 +70,7 @@
     const { clock, setAsideShare, setAsideBackoff } = this.options
     const { order, setAside } = this.policy
     const health = new EndpointHealth({ now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff, setAside })
-    const service = { queue: new LeasedQueue(order), load: new LoadRecord(clock.now), health, isPumpDue: false }
+    const service = { queue: new LeasedQueue(order), load: new LoadRecord(clock.now), health, isPumpDue: false, askedAt: -Infinity }
     this.services.set(name, service)
     return service
   }
--- a/packages/coordination/src/leased/leasedSender.ts
+++ b/packages/coordination/src/leased/leasedSender.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import type { Clock } from '@hazellift/common'
+import type { Clock, Random } from '@hazellift/common'
 import type { Resources } from '@hazellift/decisions'
 import { LeasedStartSchema, LeasedTaskSchema, RoomSchema, TaskKeySchema } from '@hazellift/protocol'
 import { taskKey } from '../tasks/keys.js'
@@ -11,6 +11,7 @@
 /** What sending needs. */
 export interface LeasedSenderOptions {
   clock: Clock
+  random: Random
   fleet: LeasedFleet
   /** Runs `fn` after the events that are ready now. */
   defer: (fn: () => void) => void
@@ -21,6 +22,14 @@
 /** How long a start may wait at its agent for room that other entries' tasks took meanwhile. */
 const AGENT_WAIT_MS = 20
 
+/**
+ * Agents that are asked for room at once, and the pause before the next ones. A
+ * queue that is empty again after a moment has then not cost a frame to each
+ * agent and back.
+ */
+const ASK_STEP = 6
+const ASK_PACE_MS = 10
+
 /** Sends what waits at an entry to agents that have told room, in the queue's order. */
 export class LeasedSender {
   constructor (private readonly options: LeasedSenderOptions) {}
@@ -42,16 +51,24 @@
     for (const service of this.options.fleet.services.keys()) this.schedule(service)
   }
 
-  private pump (name: string, { queue }: LeasedService): void {
+  private pump (name: string, service: LeasedService): void {
+    const { queue } = service
     for (const job of queue.inOrder(this.options.clock.now())) {
-      if (!this.place(job)) return this.askForRoom(name)
+      if (!this.place(job)) return this.askForRoom(name, service)
       queue.remove(job)
     }
   }
 
-  /** Agents that do not know yet that tasks wait here are told at once. */
-  private askForRoom (service: string): void {
-    for (const agent of this.options.fleet.agentsOf(service)) if (!agent.knowsWanting) agent.link?.add(() => {})
+  /** Some agents that do not know yet that tasks wait here are told; more of them as long as tasks wait. */
+  private askForRoom (name: string, service: LeasedService): void {
+    const { fleet, clock, random } = this.options
+    if (clock.now() - service.askedAt < ASK_PACE_MS) return
+    service.askedAt = clock.now()
+    const unasked = fleet.agentsOf(name).filter(({ knowsWanting }) => !knowsWanting)
+    // From a random one on: entries that run short together ask different agents.
+    const from = Math.floor(random() * unasked.length)
+    const asked = [...unasked.slice(from), ...unasked.slice(0, from)].slice(0, ASK_STEP)
+    for (const { link } of asked) link?.add(() => {})
   }
 
   /**
--- a/packages/decisions/src/part.test.ts
+++ b/packages/decisions/src/part.test.ts
@@ -24,10 +24,10 @@
 describe('the entries that an agent chooses', () => {
   const counts = [
     { name: 'a few entries: all of them', entries: 3, zones: 3, near: 1, far: 2 },
-    { name: 'as many as the limits: all', entries: 8, zones: 4, near: 2, far: 6 },
-    { name: 'seven of the own zone: five', entries: 35, zones: 5, near: 5, far: 3 },
-    { name: 'one of the own zone: the others make up for it', entries: 30, zones: 30, near: 1, far: 7 },
-    { name: 'none of other zones: the own zone makes up for it', entries: 12, zones: 1, near: 8, far: 0 }
+    { name: 'as many as the limits: all', entries: 5, zones: 4, near: 2, far: 3 },
+    { name: 'seven of the own zone: three', entries: 35, zones: 5, near: 3, far: 2 },
+    { name: 'one of the own zone: the others make up for it', entries: 30, zones: 30, near: 1, far: 4 },
+    { name: 'none of other zones: the own zone makes up for it', entries: 12, zones: 1, near: 5, far: 0 }
   ]
   it.each(counts)('$name', ({ entries: count, zones, near, far }) => {
     const entries = entriesOf(count, zones)
@@ -50,7 +50,7 @@
 
   it('with all entries lost, no more are dialled than the preferred ones', () => {
     const entries = entriesOf(35, 5)
-    expect(choose(entries, { lost: entries.map(({ address }) => address) }).size).toBe(8)
+    expect(choose(entries, { lost: entries.map(({ address }) => address) }).size).toBe(PART_LIMITS.near + PART_LIMITS.far)
   })
 
   it('when one goes for good, one other is chosen', () => {
--- a/packages/decisions/src/part.ts
+++ b/packages/decisions/src/part.ts
@@ -7,7 +7,7 @@
  * entry needs room at a few endpoints only.
  *
  * Bounds: an agent's sessions, whatever the fleet. An entry's are as many times
- * its part of the agents: with 35 entries and 160 agents some 37.
+ * its part of the agents: with 35 entries and 160 agents some 23.
  */
 
 /** Where an entry can be reached. */
@@ -39,11 +39,15 @@
 export const ALL_ENTRIES: PartLimits = { near: Infinity, far: Infinity }
 
 /**
- * Five of the own zone keep most starts within it; three of other zones join
- * all parts, so that a zone that lost half of its endpoints, or an entry with
- * several times the usual callers, has room elsewhere.
+ * Three of the own zone keep most starts within it; two of other zones join all
+ * parts, so that a zone that lost endpoints, or an entry with several times the
+ * usual callers, has room elsewhere. Near capacity each session more costs weak
+ * entries frames that they have no time for: worth 0.962 with 3 and 2, 0.963 with
+ * 2 and 2, 0.913 with 4 and 2, 0.887 with 5 and 3; with endpoints lost 0.963,
+ * 0.960 with 2 and 2, 0.932 with 5 and 3. Emulated: 35 entries, 160 endpoints at 0.93 of
+ * their capacity for 4 s, 2 seeds.
  */
-export const PART_LIMITS: PartLimits = { near: 5, far: 3 }
+export const PART_LIMITS: PartLimits = { near: 3, far: 2 }
 
 /**
  * The entries that an agent chooses, by rendezvous hashing: when one comes or
--- a/packages/lab/src/lab.test.ts
+++ b/packages/lab/src/lab.test.ts
@@ -17,13 +17,22 @@
     { name: 'lost-orders', seed: 1, figure: 'inTime', atLeast: 0.96 },
     { name: 'lost-orders', seed: 2, figure: 'worstKind', atLeast: 0.95 },
     { name: 'overload', seed: 1, figure: 'worstWindows', atLeast: 0.92 },
-    { name: 'overload', seed: 4, figure: 'worstWindows', atLeast: 0.865 }
+    { name: 'overload', seed: 4, figure: 'worstWindows', atLeast: 0.865 },
+    { name: 'large-busy', seed: 1, figure: 'worth', atLeast: 0.97 },
+    { name: 'large-busy', seed: 2, figure: 'worstKind', atLeast: 0.94 }
   ]
   it.each(cases)('$name, seed $seed: $figure is at least $atLeast', async ({ name, seed, figure, atLeast }) => {
     const { figures } = await runScenario(scenarioOf(name), seed, POLICY)
     expect(figures[figure]).toBeGreaterThanOrEqual(atLeast)
   })
 
+  it('a busy fleet with weak entries spends few frames and bytes on a task', async () => {
+    const { figures } = await runScenario(scenarioOf('large-busy'), 1, POLICY)
+    expect(figures.framesPerTask).toBeLessThan(15)
+    expect(figures.bytesPerTask).toBeLessThan(2600)
+    expect(figures.startsInVain).toBeLessThan(0.13)
+  })
+
   it('the same seed gives the same bits', async () => {
     const scenario = { ...scenarioOf('faults'), seconds: 8 }
     const runs = [await runScenario(scenario, 3, POLICY), await runScenario(scenario, 3, POLICY)]
