--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -26,6 +26,7 @@
   memory: { ...NOTHING, NA: 1, MAX_NONCE: 2, MAX_FORGETS: 1, MAX_CUTS: 1 },
   wholeAnswer: { ...NOTHING, NA: 1, NT: 2, MAX_NONCE: 2, MAX_DEATHS: 1 },
   config: {},
+  keepers: {},
   outageEnds: { N: 2, MAX_ENDS: 2 },
   outageJoins: { N: 3, MAX_ENDS: 0 },
   leaseAgentDies: { NE: 1, MAX_DEATHS: 1, MAX_LATE: 1 },
@@ -35,6 +36,7 @@
 
 const SUBMISSION = 'model/submission.pml'
 const CONFIG = 'model/config.pml'
+const KEEPERS = 'model/keepers.pml'
 const OUTAGE = 'model/outage.pml'
 const LEASE = 'model/lease.pml'
 
@@ -47,6 +49,7 @@
   { file: SUBMISSION, budget: 'memory', property: 'nothing starts after a takeover was answered at an agent that it reached, however long a start is held up' },
   { file: SUBMISSION, budget: 'wholeAnswer', property: 'an answer is complete or failed, with two tasks' },
   { file: CONFIG, budget: 'config', property: 'what was accepted never reverts, in the table or at an entry; an operator is told the truth' },
+  { file: KEEPERS, budget: 'keepers', property: 'an agent\'s document is the one of its version, and none in force at an entry reverts, through keepers and restarts' },
   { file: OUTAGE, budget: 'outageEnds', property: '"not run" is true while the table is away: entries end, start again and join' },
   { file: OUTAGE, budget: 'outageJoins', property: 'the same with three entries that join' },
   { file: LEASE, budget: 'leaseAgentDies', property: 'no two runs of a task overlap: an agent that dies, or stands still, with an order that is carried out late' },
@@ -72,6 +75,8 @@
   { file: CONFIG, budget: 'config', guard: 'NO_HISTORY_CHECK', without: 'the look into the history after a lost acknowledgement' },
   { file: CONFIG, budget: 'config', guard: 'NO_HIGHER_ONLY', without: 'applying higher versions only' },
   { file: CONFIG, budget: 'config', guard: 'NO_READ_BEFORE_READY', without: 'reading the configuration before serving' },
+  { file: KEEPERS, budget: 'keepers', guard: 'NO_FILLED_AS_IT_LEAVES', without: 'filling in the document together with its version, as the frame leaves' },
+  { file: KEEPERS, budget: 'keepers', guard: 'NO_NEWER_ONLY', without: 'taking newer documents only from agents' },
   { file: OUTAGE, budget: 'outageEnds', guard: 'NO_END_SEEN', without: 'the doubt after an entry has ended' },
   { file: OUTAGE, budget: 'outageEnds', guard: 'NO_INCARNATION', without: 'the name of the process that answers' },
   { file: OUTAGE, budget: 'outageJoins', guard: 'NO_ANNOUNCEMENT', without: 'the announcement before the first claim' },
