--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -1,10 +1,11 @@
 import { create } from '@bufbuild/protobuf'
 import type { Resources } from '@hazellift/decisions'
-import { EndpointStateSchema, REASONS, RoomSchema, TASK_OUTCOMES, TaskKeySchema, TaskResultSchema } from '@hazellift/protocol'
+import { REASONS, TASK_OUTCOMES, TaskKeySchema, TaskResultSchema } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, EntryFrame, LeasedStart, Reason, Revoke, TaskKey, TaskOutcome } from '@hazellift/protocol'
 import type { SessionHost, AddToFrame } from '../session/types.js'
 import { Authorities } from './authorities.js'
 import { describeEnd } from './describeEnd.js'
+import { describeLife } from './describeLife.js'
 import { EndpointLife } from './endpointLife.js'
 import type { AttemptOver, HeldTask } from './heldTask.js'
 import { HostSessions } from './hostSessions.js'
@@ -110,8 +111,7 @@
   }
 
   openSession (incarnation: string, add: AddToFrame): void {
-    const held = [...this.running, ...this.waiting].filter(({ owner }) => owner === incarnation).map(({ key }) => key)
-    this.sessions.begin(incarnation, add, held, this.isLeaving)
+    this.sessions.begin(incarnation, add, this.tasksOf(incarnation).map(({ key }) => key), this.isLeaving)
     this.sessions.tellEndpoint(this.endpointState, this.isLeaving, [incarnation])
   }
 
@@ -128,7 +128,7 @@
   }
 
   isBusyWith (incarnation: string): boolean {
-    return [...this.running, ...this.waiting].some(({ owner }) => owner === incarnation)
+    return this.tasksOf(incarnation).length > 0
   }
 
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
@@ -154,6 +154,11 @@
     this.offers.stamp(incarnation, frame)
   }
 
+  /** Tasks of an entry that run or wait. */
+  private tasksOf (incarnation: string): Array<Pick<WaitingStart, 'owner' | 'key'>> {
+    return [...this.running, ...this.waiting].filter(({ owner }) => owner === incarnation)
+  }
+
   private leave (): void {
     this.refuseWaiting(() => true, REASONS.endpointGone)
     this.sessions.tellLeaving()
@@ -237,7 +242,7 @@
   private tell (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs = 0): void {
     const result = create(TaskResultSchema, { key, outcome, reason, runMs })
     this.options.observe(result)
-    const hasMoreHere = [...this.running, ...this.waiting].some((other) => other.owner === owner && other.key.submission === key.submission)
+    const hasMoreHere = this.tasksOf(owner).some((other) => other.key.submission === key.submission)
     this.sessions.tellResult(owner, result, outcome !== TASK_OUTCOMES.done || !hasMoreHere)
   }
 
@@ -252,7 +257,6 @@
 
   /** Entries hear of a life once it takes starts: then nothing that an earlier agent left runs any more. */
   private get endpointState (): EndpointState {
-    if (this.life?.takesStarts !== true || this.announced === undefined) return create(EndpointStateSchema)
-    return create(EndpointStateSchema, { ...this.announced, capacity: create(RoomSchema, this.announced.capacity) })
+    return describeLife(this.life?.takesStarts === true ? this.announced : undefined)
   }
 }
