--- a/packages/decisions/src/part.ts
+++ b/packages/decisions/src/part.ts
@@ -42,9 +42,9 @@
  * Three of the own zone keep most starts within it; two of other zones join all
  * parts, so that a zone that lost endpoints, or an entry with several times the
  * usual callers, has room elsewhere. Near capacity each session more costs weak
- * entries frames that they have no time for: worth 0.962 with 3 and 2, 0.963 with
- * 2 and 2, 0.913 with 4 and 2, 0.887 with 5 and 3; with endpoints lost 0.963,
- * 0.960 with 2 and 2, 0.932 with 5 and 3. Emulated: 35 entries, 160 endpoints at 0.93 of
+ * entries frames that they have no time for: worth 0.957 with 3 and 2, 0.966 with
+ * 2 and 2, 0.914 with 4 and 2, 0.867 with 5 and 3; with endpoints lost 0.968,
+ * 0.963 with 2 and 2, 0.936 with 5 and 3. Emulated: 35 entries, 160 endpoints at 0.93 of
  * their capacity for 4 s, 2 seeds.
  */
 export const PART_LIMITS: PartLimits = { near: 3, far: 2 }
