A session with an entry that nobody lists any more is left to that entry

Cause, found on reading the change again: an entry that stops gracefully leaves the lists while its jobs still run. Since the dialer ends what is not wanted, its sessions were ended 3 s later; the product's own agent, which does not tell whether tasks of an entry are there, would have cut them whatever ran. Tests of planned stops did not show it: their tasks are shorter.

Ruled out: asking the host only (the product's TaskHost has no such answer; the list is what was misread: not listed means stopping, not badly placed).

Change: only entries that are listed and not chosen are retired.

The test of seeds now uses a seed that is listed and not chosen, which is what it is about, and checks that it was retired.

--- a/packages/sessions/src/entryDialer.test.ts
+++ b/packages/sessions/src/entryDialer.test.ts
@@ -146,6 +146,21 @@
     expect(fixture.held).toEqual(['e0', 'e1', 'e2'])
   })
 
+  it('an entry that nobody lists any more keeps its session: it stops, and ends it when its jobs are over', async () => {
+    const fixture = new Fixture({ limits: ALL_ENTRIES })
+    fixture.dialer.onLookedUp(entriesOf(4))
+    await fixture.run(100)
+    for (const { onEntries } of [...fixture.open.values()]) onEntries(entriesOf(3))
+    await fixture.run(10_000)
+    expect(fixture.held).toContain('e3')
+    expect(fixture.retired).toEqual([])
+    fixture.lose('e3')
+    await fixture.run(20_000)
+    const dials = fixture.dialled.length
+    await fixture.run(10_000)
+    expect(fixture.dialled.length).toBe(dials)
+  })
+
   it.each([40, 400])('while none of %i entries can be reached, dials are as few as with few entries', async (count) => {
     const fixture = new Fixture()
     const entries = entriesOf(count)
@@ -175,13 +190,18 @@
   })
 
   it('are left once entries are known, if none of them is chosen', async () => {
-    const fixture = new Fixture({ seeds: ['s0'] })
+    const entries = entriesOf(12)
+    const chosen = new Fixture()
+    chosen.dialer.onLookedUp(entries)
+    await chosen.run(100)
+    const seed = entries.find(({ address }) => !chosen.held.includes(address))!.address
+    const fixture = new Fixture({ seeds: [seed] })
     fixture.dialer.start()
     await fixture.run(50)
-    fixture.open.get('s0')!.onEntries(entriesOf(12))
+    fixture.open.get(seed)!.onEntries(entries)
     await fixture.run(4000)
-    expect(fixture.held).toHaveLength(4)
-    expect(fixture.held).not.toContain('s0')
+    expect(fixture.held).toEqual(chosen.held)
+    expect(fixture.retired).toEqual([seed])
   })
 
   it('without limits every entry is held', async () => {
--- a/packages/sessions/src/entryDialer.ts
+++ b/packages/sessions/src/entryDialer.ts
@@ -128,10 +128,13 @@
   private update (): void {
     if (this.isStopped || this.known.isEmpty) return
     const { zone, score, limits, clock } = this.options
-    const wanted = choosePart(this.known.all, { zone, score, isLost: (address) => this.isLost(address) }, limits)
+    const known = this.known.all
+    const listed = new Set(known.map(({ address }) => address))
+    const wanted = choosePart(known, { zone, score, isLost: (address) => this.isLost(address) }, limits)
     for (const address of wanted) this.begin(address)
     for (const [address, dial] of this.dials) {
-      if (wanted.has(address)) dial.unwantedSince = undefined
+      // An entry that nobody lists is about to stop, or a seed: it ends its session itself, once its jobs are over.
+      if (wanted.has(address) || !listed.has(address)) dial.unwantedSince = undefined
       else if (!dial.isOpen) dial.retired.abort()
       else if (dial.unwantedSince === undefined) this.leaveUnwanted(dial, clock.now())
     }
@@ -168,8 +171,8 @@
   }
 
   private async dialOnce (address: string, dial: Dial): Promise<void> {
-    const { clock, dial: open } = this.options
-    await open(address, {
+    const { clock } = this.options
+    await this.options.dial(address, {
       signal: dial.stopped.signal,
       retired: dial.retired.signal,
       onOpen: () => {
