Tests: endpoints that crash and start again among the faults on the fake clock

Cause: no table of faults let an endpoint begin a new life under its agent. Conclusion: what ran in a life that is over may be told at once.

--- a/packages/coordination/tests/leased/fakeEndpoint.ts
+++ b/packages/coordination/tests/leased/fakeEndpoint.ts
@@ -45,6 +45,7 @@
   private ends: ListedEnd[] = []
   private seq = 0
   private until = 0
+  private isDown = false
 
   /** Calls so far, by kind. */
   readonly calls = { start: 0, stop: 0, hold: 0 }
@@ -77,6 +78,12 @@
     }
   }
 
+  /** Its life is over: nothing runs, and no call is answered any more. */
+  crash (): void {
+    for (const run of [...this.running.values()]) this.finish(run, RUN_ENDS.lapsed)
+    this.isDown = true
+  }
+
   /** Everything that is running, as past runs that go on. */
   get open (): PastRun[] {
     return [...this.running.values()].map(({ submission, index, run, startedAt }) => ({ submission, index, run, from: startedAt, to: Infinity }))
@@ -89,10 +96,11 @@
 
   private async call<T> (name: 'start' | 'stop' | 'hold', act: () => T, unanswered: T): Promise<T> {
     this.calls[name]++
+    if (this.isDown) return new Promise(() => {})
     const fault = this.fault(name)
     if (fault === 'none') return act()
     if (fault === 'answer_lost') act()
-    if (fault === 'late') this.clock.after(LATE_MS, act)
+    if (fault === 'late') this.clock.after(LATE_MS, () => { if (!this.isDown) act() })
     await this.clock.sleep(this.callLimitMs)
     return unanswered
   }
--- a/packages/coordination/tests/leased/leased.test.ts
+++ b/packages/coordination/tests/leased/leased.test.ts
@@ -99,6 +99,24 @@
         network.cut(0, 0, false)
       }
     },
+    { name: 'an endpoint crashes and starts again', act: (network) => network.restartEndpoint(0) },
+    {
+      name: 'an endpoint crashes and starts again, and again',
+      act: async (network) => {
+        for (let life = 0; life < 3; life++) {
+          network.restartEndpoint(0)
+          await network.advance(120)
+        }
+      }
+    },
+    {
+      name: 'an agent dies while its endpoint starts again',
+      act: async (network) => {
+        network.restartEndpoint(0)
+        await network.advance(5)
+        network.killAgent(0)
+      }
+    },
     { name: 'an endpoint leaves holds unanswered', act: (network) => { network.endpoints[0]!.fault = (call) => call === 'hold' ? 'lost' : 'none' } }
   ]
 
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -121,6 +121,17 @@
     if (restarts) this.agents[index] = this.newAgent(agent.endpoint)
   }
 
+  /** The endpoint of an agent crashes, and its next life is announced at once; it knows nothing of before. */
+  restartEndpoint (index: number): void {
+    const agent = this.agents[index]!
+    const { runMs } = agent.endpoint
+    agent.endpoint.crash()
+    agent.endpoint = new FakeEndpoint(this.clock, () => TASK_CPU)
+    agent.endpoint.runMs = runMs
+    this.endpoints.push(agent.endpoint)
+    this.announce(agent)
+  }
+
   /** The entry's process dies; another one begins. */
   killEntry (index: number): void {
     for (const pair of this.pairs) if (pair.entry === index) this.drop(pair)
@@ -153,6 +164,12 @@
     const host = new LeasedHost({ clock: this.clock, times: this.times, holdWaitMs: 100, log: () => {}, observe: (result) => this.count(result) })
     const life = this.counter++
     const agent = { incarnation: `a${life}`, host, endpoint, life, isUp: true }
+    this.announce(agent)
+    return agent
+  }
+
+  private announce (agent: Agent): void {
+    const { host, endpoint } = agent
     host.setEndpoint({
       service: 's',
       incarnation: `i${this.endpoints.indexOf(endpoint)}`,
@@ -165,7 +182,6 @@
         hold: (order) => agent.isUp ? endpoint.hold(order) : new Promise(() => {})
       }
     })
-    return agent
   }
 
   private count ({ outcome, reason }: TaskResult): void {
