An agent's sessions for kept jobs in a class of their own

Change: sessions, mailboxes and the count of ends for other entries moved to TaskSessions; no behaviour changed.

--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -3,12 +3,10 @@
 import { CollectedSchema, EndpointStateSchema, REASONS, ResumeSchema, TASK_OUTCOMES, TaskResultSchema } from '@hazellift/protocol'
 import type { AgentFrame, Collect, EndpointState, EntryFrame, Reason, Start, TaskKey, TaskOutcome, TaskResult } from '@hazellift/protocol'
 import type { AddToFrame, SessionHost } from '../session/types.js'
-import { VERDICTS, judgeResult } from '../health/judgeResult.js'
 import { SlotGranter } from '../slots/slotGranter.js'
-import { EndsTally } from './endsElsewhere.js'
-import { Mailboxes } from './mailboxes.js'
 import { TaskLedger } from './taskLedger.js'
 import type { TaskEntry } from './taskLedger.js'
+import { TaskSessions } from './taskSessions.js'
 
 /** How one attempt at the endpoint ended. */
 export interface AttemptEnd {
@@ -38,13 +36,6 @@
   observe?: (result: TaskResult) => void
 }
 
-interface HostSession {
-  add: AddToFrame
-  elsewhere: EndsTally
-  /** The entry knows that this agent is leaving, so no start follows. */
-  sawLeaving: boolean
-}
-
 interface WaitingStart {
   entry: TaskEntry
   start: Start
@@ -55,9 +46,6 @@
 const isRetryOf = (known: TaskEntry, { attempt }: TaskKey): boolean =>
   attempt > known.key.attempt && known.result?.outcome === TASK_OUTCOMES.failed
 
-/** Least time between frames that only tell of a failure. */
-const FAILURE_PACE_MS = 20
-
 /** The end of a start as it can be told again; one whose answer was dropped must not pass for done. */
 const rememberedResult = ({ key, result, isAnswerDropped }: TaskEntry): TaskResult | undefined => {
   if (result === undefined) return undefined
@@ -74,19 +62,17 @@
 export class TaskHost implements SessionHost {
   private readonly ledger: TaskLedger
   private readonly granter: SlotGranter
-  private readonly sessions = new Map<string, HostSession>()
-  private readonly mailboxes: Mailboxes
+  private readonly sessions: TaskSessions
   private readonly waiting: WaitingStart[] = []
   private endpoint = NO_ENDPOINT
   private running = 0
   private leaving = false
-  private failureToldAt = -Infinity
 
   constructor (private readonly options: TaskHostOptions) {
     const { clock, memoryMs, standingCredits, maxAnswerSize } = options
     this.ledger = new TaskLedger(memoryMs, clock.now, maxAnswerSize)
     this.granter = new SlotGranter(standingCredits)
-    this.mailboxes = new Mailboxes(clock.now)
+    this.sessions = new TaskSessions(clock)
   }
 
   /** Tasks that run or wait here. */
@@ -96,12 +82,12 @@
 
   /** True once every entry with a session knows that this agent is leaving. */
   get isLeft (): boolean {
-    return [...this.sessions.values()].every(({ sawLeaving }) => sawLeaving)
+    return this.sessions.haveAllSeenLeaving
   }
 
   /** Results that no entry has acknowledged yet. */
   get unacked (): number {
-    return this.mailboxes.unackedCount
+    return this.sessions.unacked
   }
 
   /**
@@ -109,9 +95,9 @@
    * same incarnation has been closed: nothing it may still carry is accepted.
    */
   openSession (incarnation: string, add: AddToFrame): void {
-    this.sessions.set(incarnation, { add, elsewhere: new EndsTally(), sawLeaving: false })
+    this.sessions.begin(incarnation, add)
     this.granter.addEntry(incarnation)
-    const unacked = this.mailboxes.unackedOf(incarnation)
+    const unacked = this.sessions.unackedOf(incarnation)
     const started = this.ledger.heldFor(incarnation)
     const held = [...started.filter(({ result }) => result === undefined), ...unacked].map(({ key }) => key!)
     add((frame) => {
@@ -119,15 +105,15 @@
       frame.endpoint = this.endpoint
       frame.leaving = this.leaving
     })
-    for (const result of unacked) this.addResult(incarnation, result)
+    for (const result of unacked) this.sessions.tell(incarnation, result)
     for (const entry of started) if (entry.recipient !== incarnation) this.tellTakenOver(incarnation, entry.key)
     this.grant((entry) => entry === incarnation)
   }
 
   /** The session ended; its credits are void. Running tasks run on. */
   closeSession (incarnation: string, add: AddToFrame): void {
-    if (this.sessions.get(incarnation)?.add !== add) return
-    this.sessions.delete(incarnation)
+    if (!this.sessions.isLatest(incarnation, add)) return
+    this.sessions.end(incarnation)
     this.granter.removeEntry(incarnation)
     this.grant()
   }
@@ -135,10 +121,8 @@
   /** Handles what an entry sent on an open session. */
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
     // A frame of a closed session may hold starts that its entry has sent elsewhere since.
-    const session = this.sessions.get(incarnation)
-    if (session?.add !== add) return
-    session.sawLeaving ||= frame.sawLeaving
-    this.mailboxes.acknowledge(incarnation, frame.ackedSeq)
+    if (!this.sessions.isLatest(incarnation, add)) return
+    this.sessions.onFrame(incarnation, frame)
     if (frame.returnedCredits > 0) this.granter.returned(incarnation, frame.returnedCredits)
     for (const start of frame.starts) this.onStart(incarnation, start)
     for (const { workspace, submission, tasks } of frame.revokes) this.onRevoke(incarnation, workspace, submission, tasks)
@@ -151,12 +135,10 @@
   setEndpoint (endpoint: EndpointState | undefined): void {
     this.endpoint = endpoint === undefined ? NO_ENDPOINT : { ...endpoint, standingCredits: this.options.standingCredits }
     this.granter.setSlots(this.leaving ? 0 : this.endpoint.slots)
-    for (const { add } of this.sessions.values()) {
-      add((frame) => {
-        frame.endpoint = this.endpoint
-        frame.credits = 0
-      })
-    }
+    this.sessions.addToAll((frame) => {
+      frame.endpoint = this.endpoint
+      frame.credits = 0
+    })
     if (this.endpoint.service === '') this.refuseWaiting()
     this.grant(() => true)
   }
@@ -165,12 +147,10 @@
   leave (): void {
     this.leaving = true
     this.granter.setSlots(0)
-    for (const { add } of this.sessions.values()) {
-      add((frame) => {
-        frame.leaving = true
-        frame.credits = 0
-      })
-    }
+    this.sessions.addToAll((frame) => {
+      frame.leaving = true
+      frame.credits = 0
+    })
     this.refuseWaiting()
   }
 
@@ -183,21 +163,20 @@
 
   /** A frame on every session, so that entries see this agent and a fresh stamp. */
   keepAlive (): void {
-    for (const { add } of this.sessions.values()) add(() => {})
+    this.sessions.addToAll(() => {})
   }
 
   /** Forgets what is old enough. */
   sweep (): void {
     this.ledger.sweep()
-    const oldest = this.options.clock.now() - this.options.memoryMs
-    this.mailboxes.sweep((incarnation) => this.sessions.has(incarnation), oldest)
+    this.sessions.sweep(this.options.memoryMs)
   }
 
   /** Fills in what every frame carries. */
   stamp (incarnation: string, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
     frame.free = this.granter.freeFor(incarnation)
-    const ends = this.sessions.get(incarnation)?.elsewhere.take()
+    const ends = this.sessions.takeEndsElsewhere(incarnation)
     if (ends !== undefined) frame.endsElsewhere = ends
   }
 
@@ -233,15 +212,15 @@
   private onDuplicate (incarnation: string, known: TaskEntry): void {
     if (known.recipient !== incarnation) return this.tellTakenOver(incarnation, known.key)
     const result = rememberedResult(known)
-    if (result !== undefined) this.deliver(incarnation, result)
+    if (result !== undefined) this.sessions.deliver(incarnation, result)
   }
 
   private refuseStart (incarnation: string, key: TaskKey, reason: Reason): void {
-    this.deliver(incarnation, create(TaskResultSchema, { key, outcome: TASK_OUTCOMES.notStarted, reason }))
+    this.sessions.deliver(incarnation, create(TaskResultSchema, { key, outcome: TASK_OUTCOMES.notStarted, reason }))
   }
 
   private tellTakenOver (incarnation: string, key: TaskKey): void {
-    this.deliver(incarnation, create(TaskResultSchema, {
+    this.sessions.deliver(incarnation, create(TaskResultSchema, {
       key, outcome: TASK_OUTCOMES.failed, reason: REASONS.takenOver
     }))
   }
@@ -277,8 +256,8 @@
     // A start that did not happen must not stand in the way of one that the entry may send again.
     if (end.outcome === TASK_OUTCOMES.notStarted) this.ledger.remove(entry.key)
     else this.ledger.finish(entry, result)
-    this.tellOthers(entry.recipient, result)
-    this.deliver(entry.recipient, result)
+    this.sessions.countForOthers(entry.recipient, result)
+    this.sessions.deliver(entry.recipient, result)
     this.runWaiting()
     this.grant((incarnation) => incarnation === entry.recipient, entry.recipient)
   }
@@ -297,9 +276,9 @@
     this.refuseWaitingOf(new Set(before))
     const started = this.ledger.collect(workspace, submission, incarnation, keepMs)
     for (const { origin, key } of started) if (origin !== incarnation) this.tellTakenOver(origin, key)
-    for (const result of started.map(rememberedResult)) if (result !== undefined) this.deliver(incarnation, result)
+    for (const result of started.map(rememberedResult)) if (result !== undefined) this.sessions.deliver(incarnation, result)
     const running = started.filter(({ result }) => result === undefined).map(({ key }) => key)
-    this.sessions.get(incarnation)?.add((frame) => {
+    this.sessions.add(incarnation, (frame) => {
       frame.collected.push(create(CollectedSchema, { workspace, submission, running }))
     })
   }
@@ -316,31 +295,10 @@
     }
   }
 
-  /** Counts an end for the entries that it does not go to; a failure is told at once, but not too often. */
-  private tellOthers (recipient: string, result: TaskResult): void {
-    const { clock } = this.options
-    const isUrgent = judgeResult(result) === VERDICTS.failed && clock.now() - this.failureToldAt >= FAILURE_PACE_MS
-    if (isUrgent) this.failureToldAt = clock.now()
-    for (const [incarnation, { add, elsewhere }] of this.sessions) {
-      if (incarnation === recipient) continue
-      elsewhere.count(result)
-      if (isUrgent) add(() => {})
-    }
-  }
-
-  private deliver (incarnation: string, result: TaskResult): void {
-    this.mailboxes.put(incarnation, result)
-    this.addResult(incarnation, result)
-  }
-
-  private addResult (incarnation: string, result: TaskResult): void {
-    this.sessions.get(incarnation)?.add((frame) => { frame.results.push(result) })
-  }
-
   /** Sends out the next credits; `renews` names the entries that hear from this agent anyway. */
   private grant (renews: (entry: string) => boolean = () => false, hears?: string): void {
     for (const { entry, credits } of this.granter.plan(renews, hears)) {
-      this.sessions.get(entry)?.add((frame) => { frame.credits += credits })
+      this.sessions.add(entry, (frame) => { frame.credits += credits })
     }
   }
 }
