Evacuations of availability zones: no start at an evacuated zone's endpoints

Change: the adapter reads the rows of the table that it follows anyway and tells the product a list with the version of the store that made it. The list rides on the frames of sessions, once to each agent that has an older one, and before the starts of the same frame; agents of zones that change get a frame at once. Entries place nothing there and count the capacity out of admission and forecast; agents refuse starts of their own accord, give back what waits, repeat no unanswered order there, and tell entries that cannot read the store. Lists are ordered by the store's version alone, and an answer older than one read before changes nothing.

Ruled out: a copy through the keepers of the configuration (the list is some ten bytes and every agent needs it); a clock or an age in the list (the store's version orders all lists, in whatever order they arrive).

--- a/packages/coordination/src/leased/configExchange.test.ts
+++ b/packages/coordination/src/leased/configExchange.test.ts
@@ -42,7 +42,7 @@
       clock,
       times: TIMES,
       fleet,
-      events: { agentChanged: () => {}, agentLost: () => {}, configSeen: (version) => this.newer.push(version) },
+      events: { agentChanged: () => {}, agentLost: () => {}, configSeen: (version) => this.newer.push(version), evacuationsChanged: () => {} },
       onResult: () => {},
       onNotStarted: () => {},
       onLost: () => {},
--- a/packages/coordination/src/leased/endpointLife.test.ts
+++ b/packages/coordination/src/leased/endpointLife.test.ts
@@ -17,11 +17,12 @@
 const settle = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
 
 const setUp = async (runMs: number) => {
+  let mayStart = true
   const clock = createFakeClock()
   const endpoint = new FakeEndpoint(clock, () => NEED.cpuMilli, CALL_LIMIT_MS)
   endpoint.runMs = runMs
   const life = new EndpointLife({
-    clock, endpoint, capacity: CAPACITY, times: TIMES, waitMs: 100, beforeHold: () => {}, onRoom: () => {}, onOpen: () => {}, onGone: () => {}, log: () => {}
+    clock, endpoint, capacity: CAPACITY, times: TIMES, waitMs: 100, beforeHold: () => {}, mayStart: () => mayStart, onRoom: () => {}, onOpen: () => {}, onGone: () => {}, log: () => {}
   })
   const advance = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += STEP_MS) {
@@ -44,7 +45,9 @@
     endpoint.fault = (name) => name === call ? faults.shift() ?? 'none' : 'none'
   }
   const runsOf = (submission: string) => [...endpoint.past, ...endpoint.open].filter((run) => run.submission === submission)
-  return { clock, endpoint, advance, start, meet, runsOf }
+  /** Nothing may be started from now on. */
+  const forbidStarts = (): void => { mayStart = false }
+  return { clock, endpoint, advance, start, meet, runsOf, forbidStarts }
 }
 
 describe('orders of an endpoint that get no answer', () => {
--- a/packages/coordination/src/leased/endpointLifeOptions.ts
+++ b/packages/coordination/src/leased/endpointLifeOptions.ts
@@ -13,6 +13,8 @@
   waitMs: number
   /** Called before each hold: runs without authority must be stopped before they are held on. */
   beforeHold: () => void
+  /** False while nothing may be started; an order that was not answered is not repeated then. */
+  mayStart: () => boolean
   /** The room changed. */
   onRoom: () => void
   /** Nothing of an earlier agent runs any more; starts are taken from now on. */
--- a/packages/coordination/src/leased/endpointOrders.ts
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -20,6 +20,8 @@
   isEnded: () => boolean
   /** Stops what runs without authority. */
   beforeHold: () => void
+  /** False while nothing may be started. */
+  mayStart: () => boolean
   /** What runs there is held on from now. */
   onHeld: () => void
   /** Looks sent from now on prove by its absence that the task is over. */
@@ -93,10 +95,13 @@
     }
   }
 
-  /** An order is repeated only under authority that holds now: this process may have stood still since it was sent. */
+  /**
+   * An order is repeated only under authority that holds now, as this process may
+   * have stood still since it was sent, and only while starts are still allowed.
+   */
   private mayRepeat (task: HeldTask): boolean {
     this.options.beforeHold()
-    return task.stopReason === undefined && this.options.isOpen(task)
+    return task.stopReason === undefined && this.options.isOpen(task) && this.options.mayStart()
   }
 
   private onStarted (task: HeldTask): void {
--- a/packages/coordination/src/leased/hostSessions.ts
+++ b/packages/coordination/src/leased/hostSessions.ts
@@ -19,6 +19,8 @@
   toldStartsSeen: number
   /** The next frame carries the configuration document. */
   owesConfig: boolean
+  /** Version of the entry's list of evacuated zones; unset before its first frame. */
+  evacuationsVersion: bigint | undefined
   /** Results that the next frame carries. */
   results: TaskResult[]
   /** It will be ended; the entry sends no start on it any more. */
@@ -32,6 +34,7 @@
   startsSeen: 0,
   toldStartsSeen: 0,
   owesConfig: false,
+  evacuationsVersion: undefined,
   results: [],
   isRetired: false
 })
--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -61,6 +61,8 @@
   /** The agent was told that tasks wait here. */
   knowsWanting = false
   readonly config: AgentConfig
+  /** Version of the list of evacuated zones that it has, or that was sent on this session. */
+  evacuationsVersion = 0n
   readonly sent = new Map<string, SentRun>()
   private told = NO_ROOM
   private startsSeen = 0
@@ -91,6 +93,7 @@
     this.isResumed = false
     this.knowsWanting = false
     Object.assign(this.config, { heldVersion: 0n, sentVersion: 0n, isDue: false, isAsked: false })
+    this.evacuationsVersion = 0n
     this.told = NO_ROOM
     this.startsSeen = 0
     this.unseen = []
--- a/packages/coordination/src/leased/leasedFleet.ts
+++ b/packages/coordination/src/leased/leasedFleet.ts
@@ -2,6 +2,7 @@
 import { POLICY } from '@hazellift/decisions'
 import type { LoadView, Policy } from '@hazellift/decisions'
 import { EndpointHealth } from '../health/endpointHealth.js'
+import { EvacuationList } from './evacuationList.js'
 import type { LeasedAgent } from './leasedAgent.js'
 import type { LeasedJob } from './leasedJob.js'
 import { LeasedQueue } from './leasedQueue.js'
@@ -42,13 +43,15 @@
   readonly services = new Map<string, LeasedService>()
   /** The latest process of each agent. */
   readonly agents = new Map<string, LeasedAgent>()
+  /** Zones whose endpoints count for nothing: neither as places nor as capacity. */
+  readonly evacuations = new EvacuationList()
 
   /** When the latest endpoint was heard of. */
   private joinedAt = -Infinity
 
   constructor (private readonly options: LeasedFleetOptions) {}
 
-  /** An endpoint was heard of. */
+  /** Endpoints were heard of, or may be used again. */
   onJoined (): void {
     this.joinedAt = this.options.clock.now()
   }
@@ -60,7 +63,8 @@
 
   /** Agents of a service that take work. */
   agentsOf (service: string): LeasedAgent[] {
-    return [...this.agents.values()].filter((agent) => agent.service === service && agent.link !== undefined && !agent.isLeaving)
+    return [...this.agents.values()].filter((agent) =>
+      agent.service === service && agent.link !== undefined && !agent.isLeaving && !this.evacuations.has(agent.zone))
   }
 
   /** A service, made at its first mention. */
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -7,6 +7,7 @@
 import { describeEnd } from './describeEnd.js'
 import { describeLife } from './describeLife.js'
 import { EndpointLife } from './endpointLife.js'
+import { HostEvacuations } from './hostEvacuations.js'
 import type { AttemptOver, HeldTask } from './heldTask.js'
 import { HostSessions } from './hostSessions.js'
 import type { AnnouncedLife, LeasedHostOptions } from './leasedHostOptions.js'
@@ -28,6 +29,7 @@
   private readonly sessions: HostSessions
   private readonly authorities: Authorities
   private readonly offers: RoomOffers
+  private readonly evacuations: HostEvacuations
   private speed: SpeedRecord
   private running: RunningTask[] = []
   private readonly waiting = new WaitingStarts()
@@ -42,6 +44,7 @@
     this.offers = new RoomOffers({
       ...options, sessions: this.sessions.open, room: () => this.room, capacity: () => this.announced?.capacity ?? NO_ROOM
     })
+    this.evacuations = new HostEvacuations({ zone: options.zone, onChange: () => this.onEvacuation() })
     this.speed = new SpeedRecord(options.clock)
   }
 
@@ -60,6 +63,11 @@
     return this.announced?.incarnation
   }
 
+  /** True while an operator evacuates the endpoint's availability zone. */
+  get isEvacuated (): boolean {
+    return this.evacuations.isEvacuated
+  }
+
   /** Version of the configuration document held here. */
   get configVersion (): bigint {
     return this.sessions.configVersion
@@ -78,6 +86,7 @@
       times: this.options.times,
       waitMs: this.options.holdWaitMs,
       beforeHold: () => this.lapse(),
+      mayStart: () => !this.isClosed,
       onRoom: () => this.onRoom(),
       onOpen: () => this.tellEndpoint(),
       onGone: () => this.removeEndpoint(REASONS.endpointGone),
@@ -137,6 +146,8 @@
     this.authorities.renew(incarnation, frame.echoStampMs)
     this.sessions.acknowledge(incarnation, frame.ackedSeq)
     session.wantingPriority = frame.wantingPriority
+    session.evacuationsVersion = frame.evacuationsVersion
+    this.evacuations.onFrame(frame)
     for (const revoke of frame.revokes) this.onRevoke(incarnation, revoke)
     for (const start of frame.leasedStarts) {
       session.startsSeen += start.tasks.length
@@ -150,6 +161,7 @@
   stamp (incarnation: string, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
     this.sessions.stamp(incarnation, frame)
+    this.evacuations.stamp(frame, this.sessions.open.get(incarnation)?.evacuationsVersion)
     frame.slowness = this.speed.read(this.running.map(({ held, expectedMs }) => ({ startedAt: held.startedAt, expectedMs })))
     this.offers.stamp(incarnation, frame)
   }
@@ -159,6 +171,14 @@
     return [...this.running, ...this.waiting].filter(({ owner }) => owner === incarnation)
   }
 
+  /** Nothing that waits may start any more, or room is offered again; what runs is finished either way. */
+  private onEvacuation (): void {
+    const { isEvacuated } = this.evacuations
+    this.options.log(isEvacuated ? 'zone_evacuated' : 'zone_restored', { zone: this.options.zone, tasks: this.busy })
+    if (isEvacuated) this.refuseWaiting(() => true, REASONS.zoneEvacuated)
+    else this.onRoom()
+  }
+
   private leave (): void {
     this.refuseWaiting(() => true, REASONS.endpointGone)
     this.sessions.tellLeaving()
@@ -168,8 +188,13 @@
     return this.isStopping || this.isDraining
   }
 
+  /** True while the endpoint gets no start. */
+  private get isClosed (): boolean {
+    return this.isLeaving || this.evacuations.isEvacuated
+  }
+
   private get room (): Resources {
-    if (this.isLeaving || this.life === undefined) return NO_ROOM
+    if (this.isClosed || this.life === undefined) return NO_ROOM
     return this.waiting.roomBehind(this.life.room)
   }
 
@@ -198,6 +223,7 @@
 
   private refusalOf (owner: string, key: TaskKey): Reason | undefined {
     if (!this.authorities.has(owner)) return REASONS.staleStart
+    if (this.evacuations.isEvacuated) return REASONS.zoneEvacuated
     if (this.isLeaving || this.life?.takesStarts !== true) return REASONS.endpointGone
     const isHere = this.life.find(key.submission, key.task) !== undefined || this.waiting.has(key)
     return isHere ? REASONS.duplicateStart : undefined
@@ -205,7 +231,7 @@
 
   private startWaiting (): void {
     const { life, waiting } = this
-    if (life === undefined) return
+    if (life === undefined || this.isClosed) return
     for (let start = waiting.takeFirst(life.room); start !== undefined; start = waiting.takeFirst(life.room)) this.run(life, start)
   }
 
--- a/packages/coordination/src/leased/leasedHostOptions.ts
+++ b/packages/coordination/src/leased/leasedHostOptions.ts
@@ -9,6 +9,8 @@
 /** What the host needs. */
 export interface LeasedHostOptions {
   clock: Clock
+  /** Availability zone of the endpoint. */
+  zone: string
   times: LeaseTimes
   /** How long the endpoint may wait for an end before it answers a hold, in ms. */
   holdWaitMs: number
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '@hazellift/common'
 import { REASONS } from '@hazellift/protocol'
-import type { AgentFrame, EntryFrame, Hello, Reason, TaskResult } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame, Evacuations, Hello, Reason, TaskResult } from '@hazellift/protocol'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { taskKey } from '../tasks/keys.js'
 import { ConfigExchange } from './configExchange.js'
+import { EvacuationExchange } from './evacuationExchange.js'
+import type { EvacuationOrigin } from './evacuationExchange.js'
 import { LeasedAgent } from './leasedAgent.js'
 import type { SentRun } from './leasedAgent.js'
 import type { LeasedFleet } from './leasedFleet.js'
@@ -16,6 +18,8 @@
   agentLost: (agentId: string, silentMs: number, tasks: number) => void
   /** An agent holds a newer configuration document than this entry. */
   configSeen: (version: bigint, document: Uint8Array) => void
+  /** Other availability zones are evacuated than before. */
+  evacuationsChanged: (zones: string[], version: bigint, origin: EvacuationOrigin) => void
 }
 
 /** What sessions with agents need. */
@@ -45,11 +49,15 @@
   /** Processes of agents that another one has replaced, until their orders are over. */
   private readonly replaced = new Set<LeasedAgent>()
   private readonly config: ConfigExchange
+  private readonly evacuations: EvacuationExchange
   private hasEndpoints = false
 
   constructor (private readonly options: LeasedSessionsOptions) {
     const { clock, fleet, events } = options
     this.config = new ConfigExchange({ clock, agents: () => fleet.agents.values(), onNewer: events.configSeen })
+    this.evacuations = new EvacuationExchange({
+      list: fleet.evacuations, agents: () => fleet.agents.values(), onChange: (origin) => this.onEvacuations(origin)
+    })
   }
 
   /** Agents with a session. */
@@ -69,6 +77,16 @@
     this.config.setConfig(version, document)
   }
 
+  /** The operator's list of evacuated zones was read; agents hear of it, and those without a store through them. */
+  setEvacuations (evacuations: Pick<Evacuations, 'version' | 'zones'>): void {
+    this.evacuations.set(evacuations)
+  }
+
+  /** Zones that are evacuated now. */
+  get evacuatedZones (): string[] {
+    return this.options.fleet.evacuations.zones
+  }
+
   /** Ends what was sent to agents that have been silent for so long that nothing of it runs. */
   sweep (now: number): void {
     for (const agent of [...this.options.fleet.agents.values(), ...this.replaced]) this.checkLost(agent, now)
@@ -97,6 +115,7 @@
     const { fleet, clock } = this.options
     frame.echoStampMs = agent.stampMs
     this.config.stamp(agent, frame)
+    this.evacuations.stamp(agent, frame)
     frame.wantingPriority = fleet.services.get(agent.service)?.queue.firstPriority
     agent.knowsWanting = frame.wantingPriority !== undefined
     agent.echoedAt = clock.now()
@@ -113,6 +132,7 @@
     agent.heardAt = now
     if (frame.slowness > 0) agent.slowness = frame.slowness
     agent.entryCount = Math.max(1, frame.entries)
+    this.evacuations.onFrame(agent, frame)
     this.config.onFrame(agent, frame)
     if (frame.endpoint !== undefined) this.onEndpoint(agent, frame)
     else if (frame.leaving) this.onLeaving(agent)
@@ -132,6 +152,14 @@
     return wantsNoMore || (sent.size > 0 && now - echoedAt >= ECHO_PACE_MS)
   }
 
+  private onEvacuations (origin: EvacuationOrigin): void {
+    const { fleet, events, schedule } = this.options
+    events.evacuationsChanged(fleet.evacuations.zones, fleet.evacuations.version, origin)
+    // What was served so far says nothing of the capacity that is left, or back.
+    fleet.onJoined()
+    for (const service of fleet.services.keys()) schedule(service)
+  }
+
   private onEndpoint (agent: LeasedAgent, { endpoint, leaving }: AgentFrame): void {
     const { fleet, events } = this.options
     fleet.healthOf(agent)?.remove(agent.agentId)
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -15,6 +15,8 @@
 const REDIAL_MS = 50
 const STEP_MS = 5
 const TASK_CPU = 1600
+/** Of entries, and of agents unless a test says otherwise. */
+const ZONE = 'z'
 
 /** Settles what is ready without moving the clock. */
 const settle = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
@@ -44,7 +46,7 @@
 }
 
 const EVENTS: LeasedDispatchEvents = {
-  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}
+  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {}
 }
 
 /** Entries and agents in one process on a fake clock, with links that can be cut. */
@@ -64,10 +66,10 @@
   /** Starts that ended, by outcome and reason. */
   readonly startsEnded = new Map<string, number>()
 
-  constructor (entryCount: number, agentCount: number, private readonly times = TIMES, private readonly capacity = CAPACITY) {
+  constructor (entryCount: number, agentCount: number, private readonly times = TIMES, private readonly capacity = CAPACITY, private readonly zoneOf: (agent: number) => string = () => ZONE) {
     for (let entry = 0; entry < entryCount; entry++) this.entries.push(this.newEntry(entry))
     for (let agent = 0; agent < agentCount; agent++) {
-      this.agents.push(this.newAgent(new FakeEndpoint(this.clock, () => TASK_CPU)))
+      this.agents.push(this.newAgent(new FakeEndpoint(this.clock, () => TASK_CPU), agent))
       for (let entry = 0; entry < entryCount; entry++) this.pairs.push({ agent, entry, isCut: false, close: undefined, lastSeenAt: 0 })
     }
   }
@@ -118,7 +120,7 @@
     // What a dead process would still do must not happen: its endpoint calls go nowhere.
     agent.endpoint = this.detach(agent)
     agent.isUp = false
-    if (restarts) this.agents[index] = this.newAgent(agent.endpoint)
+    if (restarts) this.agents[index] = this.newAgent(agent.endpoint, index)
   }
 
   /** The endpoint of an agent crashes, and its next life is announced at once; it knows nothing of before. */
@@ -149,7 +151,7 @@
     const dispatcher = new LeasedDispatcher({
       clock: this.clock,
       random: seededRandom(index),
-      zone: 'z',
+      zone: ZONE,
       times: this.times,
       events: { ...EVENTS, configSeen: (_version, document) => this.documents.push({ entry: index, text: Buffer.from(document).toString() }) },
       setAsideShare: 0.4,
@@ -159,9 +161,11 @@
     return { incarnation: `e${index}-${this.counter++}`, dispatcher, jobs: new LeasedJobs(this.clock, dispatcher), isUp: true }
   }
 
-  private newAgent (endpoint: FakeEndpoint): Agent {
+  private newAgent (endpoint: FakeEndpoint, index: number): Agent {
     if (!this.endpoints.includes(endpoint)) this.endpoints.push(endpoint)
-    const host = new LeasedHost({ clock: this.clock, times: this.times, holdWaitMs: 100, log: () => {}, observe: (result) => this.count(result) })
+    const host = new LeasedHost({
+      clock: this.clock, zone: this.zoneOf(index), times: this.times, holdWaitMs: 100, log: () => {}, observe: (result) => this.count(result)
+    })
     const life = this.counter++
     const agent = { incarnation: `a${life}`, host, endpoint, life, isUp: true }
     this.announce(agent)
@@ -245,7 +249,7 @@
       isOpen.entry = false
       entry.dispatcher.sessions.closed(handle, link)
     }
-    const handle = entry.dispatcher.sessions.open(create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: 'z' }), link)
+    const handle = entry.dispatcher.sessions.open(create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: this.zoneOf(pair.agent) }), link)
     agent.host.openSession(entry.incarnation, toEntry)
     const keepAlive = (): void => {
       if (!isOpen.agent && !isOpen.entry) return
--- a/packages/lab/src/labWorld.ts
+++ b/packages/lab/src/labWorld.ts
@@ -47,7 +47,7 @@
 }
 
 const EVENTS: LeasedDispatchEvents = {
-  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}
+  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {}
 }
 
 /** Entries, agents, endpoints and the links between them, on one event clock. */
@@ -198,6 +198,7 @@
     const process = new LabProcess(this.clock, this.scenario.endpoints.agentCores)
     const host = new LeasedHost({
       clock: process.clock,
+      zone: this.zoneOf(index),
       times: LEASE_TIMES,
       holdWaitMs: HOLD_WAIT_MS,
       log: () => {},
--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -51,6 +51,8 @@
   orderUnanswered: 'order_unanswered',
   /** The endpoint turned the start away. */
   endpointBusy: 'endpoint_busy',
+  /** The operator evacuates the endpoint's availability zone. */
+  zoneEvacuated: 'zone_evacuated',
   // Jobs that are not kept
   notKept: 'not_kept',
   unsupported: 'unsupported',
--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -27,6 +27,7 @@
   wholeAnswer: { ...NOTHING, NA: 1, NT: 2, MAX_NONCE: 2, MAX_DEATHS: 1 },
   config: {},
   keepers: {},
+  evacuations: {},
   outageEnds: { N: 2, MAX_ENDS: 2 },
   outageJoins: { N: 3, MAX_ENDS: 0 },
   leaseAgentDies: { NE: 1, MAX_DEATHS: 1, MAX_LATE: 1 },
@@ -39,6 +40,7 @@
 const SUBMISSION = 'model/submission.pml'
 const CONFIG = 'model/config.pml'
 const KEEPERS = 'model/keepers.pml'
+const EVACUATION = 'model/evacuation.pml'
 const OUTAGE = 'model/outage.pml'
 const LEASE = 'model/lease.pml'
 
@@ -52,6 +54,7 @@
   { file: SUBMISSION, budget: 'wholeAnswer', property: 'an answer is complete or failed, with two tasks' },
   { file: CONFIG, budget: 'config', property: 'what was accepted never reverts, in the table or at an entry; an operator is told the truth' },
   { file: KEEPERS, budget: 'keepers', property: 'an agent\'s document is the one of its version, and none in force at an entry reverts, through keepers and restarts' },
+  { file: EVACUATION, budget: 'evacuations', property: 'a list of evacuated zones is the store\'s of its version, none goes back, and no start begins at an agent that knows less than the entry that sent it' },
   { file: OUTAGE, budget: 'outageEnds', property: '"not run" is true while the table is away: entries end, start again and join' },
   { file: OUTAGE, budget: 'outageJoins', property: 'the same with three entries that join' },
   { file: LEASE, budget: 'leaseAgentDies', property: 'no two runs of a task overlap: an agent that dies, or stands still, with an order that is carried out late' },
@@ -81,6 +84,11 @@
   { file: CONFIG, budget: 'config', guard: 'NO_READ_BEFORE_READY', without: 'reading the configuration before serving' },
   { file: KEEPERS, budget: 'keepers', guard: 'NO_FILLED_AS_IT_LEAVES', without: 'filling in the document together with its version, as the frame leaves' },
   { file: KEEPERS, budget: 'keepers', guard: 'NO_NEWER_ONLY', without: 'taking newer documents only from agents' },
+  { file: EVACUATION, budget: 'evacuations', guard: 'NO_NEWER_ONLY', without: 'taking newer lists only' },
+  { file: EVACUATION, budget: 'evacuations', guard: 'NO_VERSION_OF_ITS_OWN', without: 'the version that goes with the list as it was read' },
+  { file: EVACUATION, budget: 'evacuations', guard: 'NO_LIST_WITH_STARTS', without: 'the list in the frame that carries starts placed by it' },
+  { file: EVACUATION, budget: 'evacuations', guard: 'NO_OWN_CHECK', without: 'the agent\'s own check before a start' },
+  { file: EVACUATION, budget: 'evacuations', guard: 'NO_FORGET_WITH_SESSION', without: 'forgetting what an agent has when its session ends' },
   { file: OUTAGE, budget: 'outageEnds', guard: 'NO_END_SEEN', without: 'the doubt after an entry has ended' },
   { file: OUTAGE, budget: 'outageEnds', guard: 'NO_INCARNATION', without: 'the name of the process that answers' },
   { file: OUTAGE, budget: 'outageJoins', guard: 'NO_ANNOUNCEMENT', without: 'the announcement before the first claim' },
