--- a/scripts/bundleRoles.js
+++ b/scripts/bundleRoles.js
@@ -17,6 +17,7 @@
   conditions: ['source'],
   sourcemap: 'linked',
   alias: { undici: './scripts/undiciParts.js' },
+  inject: ['./scripts/headers.js'],
   legalComments: 'none',
   // Some libraries are CommonJS and ask for Node.js's own modules by require.
   banner: { js: 'import { createRequire } from \'node:module\'; const require = createRequire(import.meta.url);' }
