--- a/packages/coordination/src/leased/configExchange.ts
+++ b/packages/coordination/src/leased/configExchange.ts
@@ -38,6 +38,7 @@
   private newest = 0n
   private newerSince = -Infinity
   private sentAt = -Infinity
+  private lookedAt = -Infinity
   private askedAt = -Infinity
 
   constructor (private readonly options: ConfigExchangeOptions) {}
@@ -69,12 +70,13 @@
 
   /** To be called a few tens of times a second. */
   sweep (now: number): void {
-    if (this.copy.version > 0n && now - this.sentAt >= SEND_PACE_MS) this.sendToNext(now)
+    if (this.copy.version > 0n && now - Math.max(this.sentAt, this.lookedAt) >= SEND_PACE_MS) this.sendToNext(now)
     const isWaited = this.copy.version === 0n || now - this.newerSince >= ASK_AFTER_MS
     if (this.newest > this.copy.version && isWaited && now - this.askedAt >= ASK_PACE_MS) this.askNext(now)
   }
 
   private sendToNext (now: number): void {
+    this.lookedAt = now
     const { version } = this.copy
     const keeper = this.keepers.find(({ config }) => config.heldVersion < version && config.sentVersion < version)
     if (keeper === undefined) return
