Four sessions an agent instead of five

Change: two entries of the own zone and two others; part.test.ts keeps its cases under limits of its own, and has the product's figures beside them.

No earlier small deployment changes: up to four entries are all held. Ruled out: two and one, as deaths of entries then leave agents with one entry or none for a second.

--- a/packages/decisions/src/part.test.ts
+++ b/packages/decisions/src/part.test.ts
@@ -3,6 +3,9 @@
 import { ALL_ENTRIES, PART_LIMITS, choosePart } from './part.js'
 import type { EntryPlace, PartLimits } from './part.js'
 
+/** Figures of these tests; what is chosen must hold for any. */
+const LIMITS: PartLimits = { near: 3, far: 2 }
+
 const scoreOf = (agent: string, address: string): number => createHash('sha1').update(`${agent}\n${address}`).digest().readUInt32BE()
 
 const entriesOf = (count: number, zones: number): EntryPlace[] =>
@@ -15,7 +18,7 @@
   limits?: PartLimits
 }
 
-const choose = (entries: EntryPlace[], { agent = 'a0', zone = 'z0', lost = [], limits = PART_LIMITS }: Choice = {}): Set<string> =>
+const choose = (entries: EntryPlace[], { agent = 'a0', zone = 'z0', lost = [], limits = LIMITS }: Choice = {}): Set<string> =>
   choosePart(entries, { zone, score: (address) => scoreOf(agent, address), isLost: (address) => lost.includes(address) }, limits)
 
 const zonesOf = (part: Set<string>, entries: EntryPlace[]): string[] =>
@@ -50,7 +53,7 @@
 
   it('with all entries lost, no more are dialled than the preferred ones', () => {
     const entries = entriesOf(35, 5)
-    expect(choose(entries, { lost: entries.map(({ address }) => address) }).size).toBe(PART_LIMITS.near + PART_LIMITS.far)
+    expect(choose(entries, { lost: entries.map(({ address }) => address) }).size).toBe(LIMITS.near + LIMITS.far)
   })
 
   it('when one goes for good, one other is chosen', () => {
@@ -68,10 +71,22 @@
     for (let agent = 0; agent < agents; agent++) {
       for (const address of choose(entries, { agent: `a${agent}`, zone: `z${agent % zones}` })) held.set(address, (held.get(address) ?? 0) + 1)
     }
-    const mean = agents * (PART_LIMITS.near + PART_LIMITS.far) / count
+    const mean = agents * (LIMITS.near + LIMITS.far) / count
     for (const { address } of entries) {
       expect(held.get(address) ?? 0).toBeGreaterThan(mean / 2)
       expect(held.get(address) ?? 0).toBeLessThan(mean * 1.6)
     }
   })
+
+  const deployments = [
+    { name: 'three entries in three zones: all', entries: 3, zones: 3, near: 1, far: 2 },
+    { name: 'four in four: all', entries: 4, zones: 4, near: 1, far: 3 },
+    { name: 'eleven in three', entries: 11, zones: 3, near: 2, far: 2 },
+    { name: 'thirty-five in five', entries: 35, zones: 5, near: 2, far: 2 }
+  ]
+  it.each(deployments)('by the product\'s limits, of $name', ({ entries: count, zones, near, far }) => {
+    const entries = entriesOf(count, zones)
+    const found = zonesOf(choose(entries, { limits: PART_LIMITS }), entries)
+    expect({ near: found.filter((zone) => zone === 'z0').length, far: found.filter((zone) => zone !== 'z0').length }).toEqual({ near, far })
+  })
 })
