Operators evacuate and restore availability zones: API and command line

Cause: only the adapter of the delivery platform knew evacuations; on its own surroundings the product had no word for them.

Change: a record for each zone among the configuration, accepted, spread and never reverted like workspaces and policies; a service's open endpoints leave out evacuated zones, so that placing, credits and admission's slots do. GET and PUT of /v1/zones for the administrator, hazellift zones evacuate|restore|list, a gauge. A zone that nobody knows is refused with the zones that are known. Reading, writing and keys of records go by one table of kinds instead of a condition in each place.

Ruled out: one record with a list of zones, as operators of two zones would then lose to each other.

Tests: tests/zones.test.ts with real processes: 48 starts elsewhere and none in the zone through two entries, starts again after the restore, three refusals.

--- a/packages/coordination/src/config/configStore.ts
+++ b/packages/coordination/src/config/configStore.ts
@@ -1,16 +1,18 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import type { GenMessage } from '@bufbuild/protobuf/codegenv2'
 import { fail, ok } from '@hazellift/common'
 import type { Clock, Result } from '@hazellift/common'
-import { ConfigChangeSchema, ConfigHeadSchema, PolicyRecordSchema, WorkspaceRecordSchema } from '@hazellift/protocol'
-import type { ConfigChange, PolicyRecord, WorkspaceRecord } from '@hazellift/protocol'
+import { ConfigChangeSchema, ConfigHeadSchema, PolicyRecordSchema, WorkspaceRecordSchema, ZoneRecordSchema } from '@hazellift/protocol'
+import type { ConfigChange, PolicyRecord, WorkspaceRecord, ZoneRecord } from '@hazellift/protocol'
 import type { StoreFault, TableRow, TableService, TableWrite } from '@hazellift/store'
-import { CONFIG_KINDS, CONFIG_ROWS, configKey, historyKey } from './configRows.js'
-import type { ConfigKind } from './configRows.js'
+import { CONFIG_PREFIXES, CONFIG_ROWS, configKey, historyKey } from './configRows.js'
+import type { CONFIG_KINDS, ConfigKind } from './configRows.js'
 
 /** A change that an operator or the administrator asks for. */
 export type ConfigEdit =
   | { kind: typeof CONFIG_KINDS.workspace, name: string, seenVersion: bigint, operationId: string, record: WorkspaceRecord }
   | { kind: typeof CONFIG_KINDS.policy, name: string, seenVersion: bigint, operationId: string, record: PolicyRecord }
+  | { kind: typeof CONFIG_KINDS.zone, name: string, seenVersion: bigint, operationId: string, record: ZoneRecord }
 
 /** Why a change was not accepted. */
 export type ConfigFault =
@@ -38,8 +40,11 @@
 const decodeHead = (row: TableRow | undefined): bigint =>
   row === undefined ? 0n : fromBinary(ConfigHeadSchema, row.value).version
 
-const decodeEdited = (kind: ConfigKind, row: TableRow) =>
-  kind === CONFIG_KINDS.workspace ? fromBinary(WorkspaceRecordSchema, row.value) : fromBinary(PolicyRecordSchema, row.value)
+const RECORD_SCHEMAS: Readonly<Record<ConfigKind, GenMessage<ConfigEdit['record']>>> = {
+  workspace: WorkspaceRecordSchema,
+  policy: PolicyRecordSchema,
+  zone: ZoneRecordSchema
+}
 
 /**
  * Accepts changes of the configuration.
@@ -85,8 +90,7 @@
 
   /** All records of a kind. */
   async records (kind: ConfigKind): Promise<Result<TableRow[], StoreFault>> {
-    const prefix = kind === CONFIG_KINDS.workspace ? CONFIG_ROWS.workspacePrefix : CONFIG_ROWS.policyPrefix
-    return this.scanAll(prefix)
+    return this.scanAll(CONFIG_PREFIXES[kind])
   }
 
   private async attempt (edit: ConfigEdit, inDoubt: bigint | undefined): Promise<
@@ -116,7 +120,7 @@
     if (!res.ok) return res
     const headRow = res.value.find((row) => row.key === CONFIG_ROWS.head)
     const row = res.value.find((other) => other.key === key)
-    const record = row === undefined ? undefined : decodeEdited(kind, row)
+    const record = row === undefined ? undefined : fromBinary(RECORD_SCHEMAS[kind], row.value)
     return ok({
       head: decodeHead(headRow),
       headRow: headRow?.version ?? 0n,
@@ -139,9 +143,7 @@
     const change = create(ConfigChangeSchema, {
       version, kind, name, operationId, atMs: this.options.clock.wallNow(), [kind]: edit.record
     })
-    const value = edit.kind === CONFIG_KINDS.workspace
-      ? toBinary(WorkspaceRecordSchema, edit.record)
-      : toBinary(PolicyRecordSchema, edit.record)
+    const value = toBinary(RECORD_SCHEMAS[kind], edit.record)
     return [
       { key: CONFIG_ROWS.head, ifVersion: current.headRow, value: toBinary(ConfigHeadSchema, create(ConfigHeadSchema, { version })) },
       { key: configKey(kind, name), ifVersion: current.row, value },
--- a/packages/coordination/src/config/configWatch.ts
+++ b/packages/coordination/src/config/configWatch.ts
@@ -1,8 +1,8 @@
 import { fromBinary } from '@bufbuild/protobuf'
 import { ok } from '@hazellift/common'
 import type { Clock, Result } from '@hazellift/common'
-import { PolicyRecordSchema, WorkspaceRecordSchema } from '@hazellift/protocol'
-import type { ConfigChange, PolicyRecord, WorkspaceRecord } from '@hazellift/protocol'
+import { PolicyRecordSchema, WorkspaceRecordSchema, ZoneRecordSchema } from '@hazellift/protocol'
+import type { ConfigChange, PolicyRecord, WorkspaceRecord, ZoneRecord } from '@hazellift/protocol'
 import type { StoreFault } from '@hazellift/store'
 import { compilePolicy } from '../policy/compilePolicy.js'
 import type { CompileFault, CompiledPolicy } from '../policy/types.js'
@@ -37,6 +37,7 @@
 export class ConfigWatch {
   private readonly workspaces = new Map<string, WorkspaceRecord>()
   private readonly policies = new Map<string, { record: PolicyRecord, compiled: CompiledPolicy | undefined }>()
+  private readonly zoneRecords = new Map<string, ZoneRecord>()
   private inForce = 0n
   private loaded = false
   private stopped = false
@@ -66,6 +67,16 @@
     return { record, policy: policy?.record, compiled: policy === undefined ? DEFAULT_POLICY : policy.compiled }
   }
 
+  /** Availability zones that an operator ever evacuated or restored. */
+  get zones (): ZoneRecord[] {
+    return [...this.zoneRecords.values()]
+  }
+
+  /** True while the endpoints of an availability zone must get no start. */
+  isEvacuated (zone: string): boolean {
+    return this.zoneRecords.get(zone)?.evacuated === true
+  }
+
   /** Runs until `stop`; resolves then. */
   async run (): Promise<void> {
     while (!this.stopped) {
@@ -102,6 +113,9 @@
     if (!workspaces.ok) return workspaces
     const policies = await this.options.store.records(CONFIG_KINDS.policy)
     if (!policies.ok) return policies
+    const zones = await this.options.store.records(CONFIG_KINDS.zone)
+    if (!zones.ok) return zones
+    for (const { value } of zones.value) this.applyZone(fromBinary(ZoneRecordSchema, value))
     for (const { value } of workspaces.value) this.applyWorkspace(fromBinary(WorkspaceRecordSchema, value))
     for (const { value } of policies.value) this.applyPolicy(fromBinary(PolicyRecordSchema, value))
     this.inForce = head.value
@@ -114,9 +128,15 @@
     if (change.version <= this.inForce) return
     if (change.workspace !== undefined) this.applyWorkspace(change.workspace)
     if (change.policy !== undefined) this.applyPolicy(change.policy)
+    if (change.zone !== undefined) this.applyZone(change.zone)
     this.inForce = change.version
   }
 
+  private applyZone (record: ZoneRecord): void {
+    const before = this.zoneRecords.get(record.name)
+    if (before === undefined || before.version < record.version) this.zoneRecords.set(record.name, record)
+  }
+
   private applyWorkspace (record: WorkspaceRecord): void {
     const before = this.workspaces.get(record.name)
     if (before === undefined || before.version < record.version) this.workspaces.set(record.name, record)
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -47,6 +47,8 @@
   collectTimeoutMs: number
   setAsideShare: number
   setAsideBackoff: (times: number) => number
+  /** True for an availability zone whose endpoints get no start. */
+  isEvacuated: (zone: string) => boolean
   /** Runs `fn` after the events that are ready now. */
   defer: (fn: () => void) => void
 }
@@ -71,7 +73,8 @@
     const mayRun = (workspace: string) => this.runningTasks(workspace) < maxRunningOf(workspace)
     this.services = new ServiceRegistry(() => new ServiceState(
       { order, weightOf, mayRun },
-      { now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff }))
+      { now: clock.now, maxShare: setAsideShare, backoff: setAsideBackoff },
+      options.isEvacuated))
     this.ends = new TaskEnds({
       clock,
       events,
--- a/packages/coordination/src/dispatch/serviceState.ts
+++ b/packages/coordination/src/dispatch/serviceState.ts
@@ -12,14 +12,18 @@
   /** True while a pass over the queue is due. */
   pumpDue = false
 
-  constructor (queueOptions: FairQueueOptions, healthOptions: EndpointHealthOptions) {
+  /**
+   * @param isEvacuated - true for an availability zone whose endpoints get no start
+   */
+  constructor (queueOptions: FairQueueOptions, healthOptions: EndpointHealthOptions, private readonly isEvacuated: (zone: string) => boolean) {
     this.queue = new FairQueue(queueOptions)
     this.health = new EndpointHealth(healthOptions)
   }
 
   /** Agents that take new work. */
   get open (): AgentHandle[] {
-    return [...this.agents.values()].filter(({ link, resumed, leaving }) => link !== undefined && resumed && !leaving)
+    return [...this.agents.values()].filter(({ link, resumed, leaving, zone }) =>
+      link !== undefined && resumed && !leaving && !this.isEvacuated(zone))
   }
 
   /** Slots of all endpoints that take new work. */
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -110,6 +110,7 @@
   private createEntry (index: number): FakeEntry {
     const entry: FakeEntry = { incarnation: `entry-${index}`, complete: [], failed: [], takenOver: [], dispatcher: undefined as never }
     entry.dispatcher = new Dispatcher({
+      isEvacuated: () => false,
       clock: this.clock,
       random: () => 0.5,
       zone: '',
--- a/packages/entry/src/cli/configCommands.ts
+++ b/packages/entry/src/cli/configCommands.ts
@@ -17,27 +17,31 @@
 import { print, printFailure, printFault, printJson, printTable } from './output.js'
 import { readDocument } from './readDocument.js'
 
-interface PutOptions extends GlobalOptions {
-  workspace: string
-  file: string
+/** Options of every command that changes the configuration. */
+export interface ChangeOptions extends GlobalOptions {
   seenVersion?: string
   wait: boolean
 }
 
+interface PutOptions extends ChangeOptions {
+  workspace: string
+  file: string
+}
+
 interface Named extends GlobalOptions {
   workspace: string
 }
 
 const WAIT_MS = 14_000
 
-const printAccepted = ({ version, inForce, pending }: ConfigAccepted, options: PutOptions): void => {
+const printAccepted = ({ version, inForce, pending }: ConfigAccepted, options: ChangeOptions): void => {
   print(`version ${version} accepted, in force at ${inForce.join(', ') || 'no entry yet'}`)
   if (options.wait && pending.length > 0) printFailure(`not confirmed by ${pending.join(', ')}`, EXIT_CODES.failed)
 }
 
 /** Sends a change, made from the version given or else from the one in force now. */
-const put = async <Desc extends DescMessage>(
-  options: PutOptions, path: string, schema: Desc, spec: MessageShape<Desc> & { seenVersion: bigint, operationId: string },
+export const put = async <Desc extends DescMessage>(
+  options: ChangeOptions, path: string, schema: Desc, spec: MessageShape<Desc> & { seenVersion: bigint, operationId: string },
   currentVersion: (client: ApiClient) => Promise<bigint>
 ): Promise<void> => {
   const client = clientOf(options)
@@ -121,12 +125,15 @@
   checkAgainst(spec.value, sample.value)
 }
 
-const putCommand = (description: string): Command => clientCommand('put', description)
-  .addOption(workspaceOption())
-  .requiredOption('-f, --file <file>', 'YAML or JSON file, - for standard input')
+/** A command that changes the configuration. */
+export const changeCommand = (name: string, description: string): Command => clientCommand(name, description)
   .option('--seen-version <version>', 'version that the change was made from (default: the one in force now)')
   .option('--wait', 'return when every live entry has it in force', false)
 
+const putCommand = (description: string): Command => changeCommand('put', description)
+  .addOption(workspaceOption())
+  .requiredOption('-f, --file <file>', 'YAML or JSON file, - for standard input')
+
 /** `hazellift policy`. */
 export const policyCommand = (): Command => {
   const policy = new Command('policy').description('shows, checks and changes a workspace\'s policy')
--- a/packages/entry/src/createEntryParts.ts
+++ b/packages/entry/src/createEntryParts.ts
@@ -78,7 +78,7 @@
   wasted: (reason) => metrics.retries.inc({ reason })
 })
 
-const createDispatcher = (settings: EntrySettings, events: DispatchEvents, admission: () => Admission): Dispatcher => new Dispatcher({
+const createDispatcher = (settings: EntrySettings, events: DispatchEvents, admission: () => Admission, watch: () => ConfigWatch): Dispatcher => new Dispatcher({
   clock: systemClock,
   random: Math.random,
   zone: settings.zone,
@@ -91,6 +91,7 @@
   collectTimeoutMs: COLLECT_TIMEOUT_MS,
   setAsideShare: settings.setAsideShare,
   setAsideBackoff: createBackoff(SET_ASIDE_BACKOFF, Math.random),
+  isEvacuated: (zone) => watch().isEvacuated(zone),
   defer: queueMicrotask
 })
 
@@ -141,7 +142,7 @@
     configVersion: () => watch.version,
     onChange: onEntries
   })
-  const dispatcher: Dispatcher = createDispatcher(settings, createDispatchEvents(metrics, () => owned), () => admission)
+  const dispatcher: Dispatcher = createDispatcher(settings, createDispatchEvents(metrics, () => owned), () => admission, () => watch)
   const claims = new ClaimStore({
     table, objects, group, clock: systemClock, entryId, incarnation, newNonce: ulid, rowAnswerBytes: settings.rowAnswerBytes
   })
@@ -178,6 +179,8 @@
   gauge({ name: 'hazellift_credits', help: 'Credits held' }, (metric) =>
     metric.set(dispatcher.knownAgents.reduce((sum, { credits }) => sum + credits, 0)))
   gauge({ name: 'hazellift_config_version', help: 'Configuration version in force' }, (metric) => metric.set(Number(watch.version)))
+  gauge({ name: 'hazellift_evacuated_zones', help: 'Availability zones whose endpoints get no start' }, (metric) =>
+    metric.set(watch.zones.filter(({ evacuated }) => evacuated).length))
 }
 
 const createView = ({ entryId, incarnation, addresses }: Identity, core: EntryCore, peers: PeerClients, readiness: Readiness) => new ClusterView({
--- a/packages/entry/src/http/configHandlers.ts
+++ b/packages/entry/src/http/configHandlers.ts
@@ -66,7 +66,7 @@
 }
 
 /** Writes a change and tells the caller where it is in force. */
-const accept = async (context: ApiContext, { res, query }: ApiRequest, edit: ConfigEdit): Promise<void> => {
+export const accept = async (context: ApiContext, { res, query }: ApiRequest, edit: ConfigEdit): Promise<void> => {
   const waitMs = readMs(query['waitMs'], 0, MAX_WAIT_MS)
   if (!waitMs.ok) return sendError(res, waitMs.err)
   const result = await context.configStore.put(edit)
@@ -148,6 +148,6 @@
   if (!changes.ok) {
     return sendError(request.res, { ...notRunError(REASONS.storeDown, changes.err.message), retryAfterMs: STORE_RETRY_MS })
   }
-  const own = changes.value.filter(({ name }) => name === config.record.name).map(withoutHashes)
+  const own = changes.value.filter(({ kind, name }) => kind !== CONFIG_KINDS.zone && name === config.record.name).map(withoutHashes)
   sendMessage(request.res, 200, ChangeListSchema, create(ChangeListSchema, { changes: own }))
 }
--- a/packages/entry/src/http/createApiServer.ts
+++ b/packages/entry/src/http/createApiServer.ts
@@ -9,6 +9,7 @@
 import { cancelJob, getJob, submitJob } from './jobHandlers.js'
 import { getHealth, getMetrics, getReadiness, getStatus } from './operationHandlers.js'
 import { sendError } from './reply.js'
+import { listZones, putZone } from './zoneHandlers.js'
 
 type Method = 'GET' | 'POST' | 'PUT' | 'DELETE'
 
@@ -22,6 +23,8 @@
   ['PUT', '/v1/workspaces/:workspace/policy', putPolicy],
   ['GET', '/v1/workspaces/:workspace/policy', getPolicy],
   ['GET', '/v1/workspaces/:workspace/history', getHistory],
+  ['GET', '/v1/zones', listZones],
+  ['PUT', '/v1/zones/:zone', putZone],
   ['GET', '/v1/status', getStatus],
   ['GET', '/healthz', getHealth],
   ['GET', '/readyz', getReadiness],
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -5,6 +5,7 @@
 import { entryCommand } from './cli/entryCommand.js'
 import { jobCommand, submitCommand } from './cli/jobCommands.js'
 import { statusCommand } from './cli/statusCommand.js'
+import { zonesCommand } from './cli/zoneCommands.js'
 
 const program = new Command('hazellift')
   .description('Dispatcher for sub-second tasks.')
@@ -14,6 +15,7 @@
   .addCommand(jobCommand())
   .addCommand(policyCommand())
   .addCommand(workspaceCommand())
+  .addCommand(zonesCommand())
   .addCommand(statusCommand())
 
 await parseCommand(program)
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -187,9 +187,13 @@
 
   /** Keys of all tasks that any endpoint started, as often as they were; read from the endpoints' own records. */
   startedKeys (): string[] {
-    return Array.from({ length: this.options.workers }, (_, index) => this.recordFile(index))
-      .filter((file) => existsSync(file))
-      .flatMap((file) => readFileSync(file, 'utf8').split('\n').filter((line) => line !== ''))
+    return Array.from({ length: this.options.workers }, (_, index) => this.startedKeysOf(index)).flat()
+  }
+
+  /** The same of one endpoint. */
+  startedKeysOf (index: number): string[] {
+    const file = this.recordFile(index)
+    return existsSync(file) ? readFileSync(file, 'utf8').split('\n').filter((line) => line !== '') : []
   }
 
   /** Keys that were started more than once. */
--- a/tests/commands.test.ts
+++ b/tests/commands.test.ts
@@ -36,6 +36,7 @@
   { name: 'a wrong label', program: 'entry' as const, args: ['submit', '-s', 'order-desk', '--label', 'x'], status: 2, says: ['name=value'] },
   { name: 'an entry that cannot be reached', program: 'entry' as const, args: ['submit', '-s', 'order-desk', '-t', 'x', '--url', 'http://127.0.0.1:1'], status: 3, says: ['cannot reach'] },
   { name: 'a wrong token', program: 'entry' as const, args: ['submit', '-s', 'order-desk', '-t', 'x'], status: 1, says: ['unauthorized', 'not run'] },
+  { name: 'a zone without a name', program: 'entry' as const, args: ['zones', 'evacuate'], status: 2, says: ['zone'] },
   { name: 'a policy file that is not there', program: 'entry' as const, args: ['policy', 'check', '-f', join(folder, 'absent')], status: 2, says: ['absent'] },
   { name: 'a policy file that is not YAML', program: 'entry' as const, args: ['policy', 'check', '-f', fileOf('bad.yaml', 'admit: [')], status: 2, says: ['bad.yaml'] },
   { name: 'a policy with an unknown field', program: 'entry' as const, args: ['policy', 'check', '-f', fileOf('field.yaml', 'admitted: "true"')], status: 2, says: ['admitted'] },
