--- a/packages/sessions/src/pulse.test.ts
+++ b/packages/sessions/src/pulse.test.ts
@@ -47,38 +47,4 @@
     vi.advanceTimersByTime(2000)
     expect({ kept, given }).toEqual({ kept: keptAt, given: givenUpAt })
   })
-
-  const crowds = [
-    { name: 'idle', isBusy: false, begins: [0, 70, 130, 240], mostWakeUps: 11, leastFrames: 36 },
-    { name: 'busy', isBusy: true, begins: [0, 40, 90, 130], mostWakeUps: 22, leastFrames: 72 }
-  ]
-  it.each(crowds)('the frames of several $name sessions leave together, none of them later than alone', ({ isBusy, begins, mostWakeUps, leastFrames }) => {
-    const { keepAliveMs } = isBusy ? OPTIONS.busy : OPTIONS.idle
-    const pulse = new Pulse(OPTIONS, Date.now)
-    const wakeUps = new Set<number>()
-    let frames = 0
-    let longestMs = 0
-    for (const begin of begins) {
-      setTimeout(() => {
-        let sentAt = Date.now()
-        const watched = pulse.watch({
-          isBusy: () => isBusy,
-          keepAlive: () => {
-            frames++
-            wakeUps.add(Date.now())
-            longestMs = Math.max(longestMs, Date.now() - sentAt)
-            sentAt = Date.now()
-            watched.sent()
-          },
-          giveUp: () => {}
-        })
-        setInterval(watched.seen, 100)
-      }, begin)
-    }
-    vi.advanceTimersByTime(3000)
-    expect(wakeUps.size).toBeLessThanOrEqual(mostWakeUps)
-    expect(frames).toBeGreaterThanOrEqual(leastFrames)
-    // The timer looks every 50 ms.
-    expect(longestMs).toBeLessThanOrEqual(keepAliveMs + 50)
-  })
 })
--- a/packages/sessions/src/pulse.ts
+++ b/packages/sessions/src/pulse.ts
@@ -33,16 +33,6 @@
 
 /** How often sessions are looked at: a frame may be so much late, or early by half of it. */
 const TICK_MS = 50
-/**
- * Where one session is due, those that will be within this share of their interval
- * go with it. Their frames then leave in one wake-up of the process instead of one
- * each, and stay together: four idle sessions that began at different moments take
- * 11 wake-ups in 3 s instead of 37, four busy ones 22 instead of 58. A wake-up costs
- * most where hundreds of processes share a machine's caches. Frames of busy sessions
- * leave for other reasons, too, so that joining early adds more of them; less than
- * half for idle ones leaves two groups half an interval apart.
- */
-const JOIN_SHARES = { busy: 1 / 3, idle: 1 / 2 } as const
 
 interface Entry {
   member: PulseMember
@@ -86,19 +76,10 @@
 
   private tick (): void {
     const now = this.now()
-    const joining: PulseMember[] = []
-    let isAnyDue = false
     for (const { member, sentAt, seenAt } of this.watched) {
-      const state = member.isBusy() ? 'busy' : 'idle'
-      const { keepAliveMs, timeoutMs } = this.options[state]
-      if (now - seenAt > timeoutMs) {
-        member.giveUp()
-        continue
-      }
-      const dueInMs = keepAliveMs - TICK_MS / 2 - (now - sentAt)
-      if (dueInMs <= 0) isAnyDue = true
-      if (dueInMs <= keepAliveMs * JOIN_SHARES[state]) joining.push(member)
+      const { keepAliveMs, timeoutMs } = member.isBusy() ? this.options.busy : this.options.idle
+      if (now - seenAt > timeoutMs) member.giveUp()
+      else if (now - sentAt >= keepAliveMs - TICK_MS / 2) member.keepAlive()
     }
-    if (isAnyDue) for (const member of joining) member.keepAlive()
   }
 }
