Test: an unanswered start is not repeated in a zone that is evacuated

The guard (mayStart) came with the evacuations and had no test of its own. Without it two start calls instead of one (tried, the test fails); with it the run never begins. No code changed.

--- a/packages/coordination/src/leased/endpointLife.test.ts
+++ b/packages/coordination/src/leased/endpointLife.test.ts
@@ -78,6 +78,19 @@
     expect(runsOf('a')).toEqual([])
   })
 
+  it('a start without an answer is not sent again once nothing may be started, and never runs', async () => {
+    const { endpoint, advance, start, meet, runsOf, forbidStarts } = await setUp(100)
+    meet('start', ['late'])
+    const task = start('a')
+    const before = endpoint.calls.start
+    forbidStarts()
+    await advance(50)
+    expect(endpoint.calls.start).toBe(before)
+    expect(task.told?.type).toBe('not_started')
+    await advance(4000)
+    expect(runsOf('a')).toEqual([])
+  })
+
   const stops: Array<{ name: string, faults: CallFault[], withinMs: number }> = [
     { name: 'one', faults: ['lost'], withinMs: 60 },
     { name: 'two in a row', faults: ['lost', 'lost'], withinMs: 70 }
