--- a/packages/decisions/src/part.ts
+++ b/packages/decisions/src/part.ts
@@ -7,7 +7,7 @@
  * entry needs room at a few endpoints only.
  *
  * Bounds: an agent's sessions, whatever the fleet. An entry's are as many times
- * its part of the agents: with 35 entries and 160 agents some 23.
+ * its part of the agents: with 35 entries and 160 agents some 18.
  */
 
 /** Where an entry can be reached. */
