--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -8,14 +8,14 @@
 import type { AgentFrame, EntryFrame, SessionService } from '@hazellift/protocol'
 import type { EntryLocation } from '@hazellift/decisions'
 import { KeepAliveMonitor } from './keepAliveMonitor.js'
-import type { KeepAliveOptions } from './keepAliveMonitor.js'
+import type { KeepAliveOptions, SessionWatch, Silence } from './keepAliveMonitor.js'
 
 /** Dependencies of the sessions of an entry. */
 export interface SessionOptions<Agent> {
   /** Handles what agents send. */
   dispatcher: SessionDispatcher<Agent>
-  /** Called with every frame received and every frame sent, for metrics. */
-  observe: { read: (frame: AgentFrame) => void, sent: (frame: EntryFrame) => void }
+  /** Called with every frame received and every frame sent, and when a session timed out, for metrics. */
+  observe: { read: (frame: AgentFrame) => void, sent: (frame: EntryFrame) => void, timedOut?: (silence: Silence) => void }
   entryId: string
   incarnation: string
   /** Keep-alive intervals and timeouts. */
@@ -89,10 +89,15 @@
     const outbox = this.openOutbox()
     const link: AgentLink = { add: (change) => outbox.add(change), acknowledge: (seq) => { session.ackedSeq = seq }, close: () => outbox.close() }
     const session: Session<Agent> = { link, agent: undefined, ackedSeq: 0n }
-    const watch = this.keepAliveMonitor.watch({
+    const watch: SessionWatch = this.keepAliveMonitor.watch({
       isBusy: () => session.agent === undefined || dispatcher.isBusyWith?.(session.agent) !== false,
       sendKeepAlive: () => link.add(() => {}),
-      onTimeout: link.close
+      onTimeout: (silence) => {
+        watch.stop()
+        log('session_timed_out', { agent: session.agent?.agentId, silent: Math.round(silence.silentMs), busy: silence.isBusy })
+        observe.timedOut?.(silence)
+        link.close()
+      }
     })
     context.signal.addEventListener('abort', link.close)
     void this.read(frames, session, watch.onReceived)
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -9,7 +9,7 @@
 import { AgentFrameSchema, CLUSTER_TOKEN_HEADER, HelloSchema, SessionService } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
 import type { DialHandle } from './entryDialer.js'
-import type { KeepAliveMonitor, SessionWatch } from './keepAliveMonitor.js'
+import type { KeepAliveMonitor, SessionWatch, Silence } from './keepAliveMonitor.js'
 
 /** Dependencies of the sessions of an agent. */
 export interface DialOptions {
@@ -21,6 +21,8 @@
   clusterToken: string
   /** Watches all sessions of the process. */
   keepAliveMonitor: KeepAliveMonitor
+  /** Called when a session timed out, for metrics. */
+  onTimedOut?: (silence: Silence) => void
 }
 
 /** The entry at the other end; its incarnation is empty until its welcome was received. */
@@ -80,7 +82,7 @@
  * @param handle - by which the dialer ends the session and is notified of its events
  */
 export const dialEntry = async (address: string, options: DialOptions, handle: DialHandle): Promise<void> => {
-  const { host, keepAliveMonitor } = options
+  const { host, keepAliveMonitor, onTimedOut } = options
   const outbox = openOutbox(options)
   const add: AddToFrame = (change) => outbox.add(change)
   const ending = new AbortController()
@@ -90,7 +92,11 @@
     // A session counts as busy until the welcome: an entry that does not answer must be detected soon.
     isBusy: () => peer.incarnation === '' || host.isBusyWith?.(peer.incarnation) !== false,
     sendKeepAlive: () => outbox.add(() => {}),
-    onTimeout: () => ending.abort()
+    onTimeout: (silence) => {
+      log('session_timed_out', { address, silent: Math.round(silence.silentMs), busy: silence.isBusy })
+      onTimedOut?.(silence)
+      ending.abort()
+    }
   })
   handle.signal.addEventListener('abort', () => ending.abort(), { signal })
   if (handle.signal.aborted) ending.abort()
--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -14,6 +14,14 @@
   idle: KeepAliveTimes
 }
 
+/** How long nothing was received on a session, and how it was judged. */
+export interface Silence {
+  /** Time since the last received frame, in ms. */
+  silentMs: number
+  /** The times of a busy session applied. */
+  isBusy: boolean
+}
+
 /** One side of a session, as the monitor uses it. */
 export interface MonitoredSession {
   /** True while orders are outstanding on the session: both sides must then detect soon if the other one is lost. */
@@ -21,7 +29,7 @@
   /** Sends an empty frame. */
   sendKeepAlive: () => void
   /** Called when no frame arrived within the timeout; called again at each check until the session is no longer watched. */
-  onTimeout: () => void
+  onTimeout: (silence: Silence) => void
 }
 
 /** Reports the frames of a watched session to the monitor. */
@@ -80,8 +88,10 @@
   private check (): void {
     const now = this.now()
     for (const { session, sentAt, receivedAt } of this.watched) {
-      const { keepAliveMs, timeoutMs } = session.isBusy() ? this.options.busy : this.options.idle
-      if (now - receivedAt > timeoutMs) session.onTimeout()
+      const isBusy = session.isBusy()
+      const { keepAliveMs, timeoutMs } = isBusy ? this.options.busy : this.options.idle
+      const silentMs = now - receivedAt
+      if (silentMs > timeoutMs) session.onTimeout({ silentMs, isBusy })
       else if (now - sentAt >= keepAliveMs - CHECK_INTERVAL_MS / 2) session.sendKeepAlive()
     }
   }
