--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -16,6 +16,8 @@
   refuse: () => void
   /** Stops forwarding in both directions while connections stay open, like a network that loses all packets, until `heal`. */
   freeze: () => void
+  /** Makes the connections that are open now silent for good: they stay open and lose everything, while new ones are forwarded. */
+  silence: () => void
   /** Buffers what the target sends, while data to the target is forwarded, until `heal`. */
   holdAnswers: () => void
   /** Delays everything that is forwarded by `ms`; 0 for no delay. */
@@ -35,6 +37,8 @@
   delayMs: number
   /** Writes of what the target sent while its answers are held back; unset while they are not. */
   heldAnswers: Array<() => void> | undefined
+  /** Connections that lose everything. */
+  silenced: WeakSet<Socket>
 }
 
 const forwardTo = (to: Socket, traffic: Traffic, isAnswer: boolean) => (chunk: Buffer): void => {
@@ -47,6 +51,13 @@
   else write()
 }
 
+/** Forwards data and the end of a connection, until it is silenced. */
+const pipe = (from: Socket, to: Socket, traffic: Traffic, isAnswer: boolean): void => {
+  const forwardData = forwardTo(to, traffic, isAnswer)
+  from.on('data', (chunk: Buffer) => { if (!traffic.silenced.has(from)) forwardData(chunk) })
+  from.on('close', () => { if (!traffic.silenced.has(from)) to.destroy() })
+}
+
 const resetTraffic = (traffic: Traffic): void => {
   traffic.delayMs = 0
   for (const write of traffic.heldAnswers ?? []) write()
@@ -61,7 +72,7 @@
 export const startRelay = async (target = ''): Promise<Relay> => {
   const sockets = new Set<Socket>()
   let targetAddress = target
-  const traffic: Traffic = { bytes: 0, delayMs: 0, heldAnswers: undefined }
+  const traffic: Traffic = { bytes: 0, delayMs: 0, heldAnswers: undefined, silenced: new WeakSet() }
   let isSevered = false
   let isFrozen = false
 
@@ -77,10 +88,8 @@
     const upstream = connect(Number(port), host)
     track(client)
     track(upstream)
-    client.on('data', forwardTo(upstream, traffic, false))
-    upstream.on('data', forwardTo(client, traffic, true))
-    client.on('close', () => upstream.destroy())
-    upstream.on('close', () => client.destroy())
+    pipe(client, upstream, traffic, false)
+    pipe(upstream, client, traffic, true)
     if (!isFrozen) return
     client.pause()
     upstream.pause()
@@ -93,7 +102,7 @@
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   const { port } = server.address() as AddressInfo
-  const cut = (): void => { for (const socket of sockets) socket.destroy() }
+  const cut = (): void => { for (const socket of [...sockets]) socket.destroy() }
   return {
     address: `127.0.0.1:${port}`,
     setTarget: (address) => { targetAddress = address },
@@ -104,6 +113,7 @@
       isFrozen = true
       for (const socket of sockets) socket.pause()
     },
+    silence: () => { for (const socket of sockets) traffic.silenced.add(socket) },
     holdAnswers: () => { traffic.heldAnswers ??= [] },
     delay: (ms) => { traffic.delayMs = ms },
     heal: () => {
