A store call without an answer replaces all connections to the store

What callers saw: nothing by itself; entries could not confirm the operator's rows for up to 2.8 s after connections to the store went silent.

Cause: each call had its own time limit, but only the connection that it was on was closed. The next call took another idle connection of the same age, and the watch of the other table waited on a third one to its own limit, of 4.4 s.

Change: a call that ends without an answer at its time limit replaces the pool. New calls go on new connections; a GET that waits on an old one is sent again with a time limit of its own, as it changes nothing, while others wait on, as they may have been carried out.

silentStore.test.ts: all cases failed before (the next call timed out, the watch ended without the change).

--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -26,6 +26,8 @@
   heal: () => void
   /** Bytes forwarded so far, in both directions. */
   bytes: () => number
+  /** Number of open connections, of both sides together. */
+  connections: () => number
   /** Closes all connections and stops listening for good. */
   close: () => void
 }
@@ -124,6 +126,7 @@
       for (const socket of sockets) socket.resume()
     },
     bytes: () => traffic.bytes,
+    connections: () => sockets.size,
     close: () => {
       cut()
       server.close()
--- a/packages/store/src/createHttpCaller.ts
+++ b/packages/store/src/createHttpCaller.ts
@@ -1,7 +1,7 @@
 import { errorCode, errorMessage, fail, ok } from '@hazellift/common'
 import type { Result } from '@hazellift/common'
-import { Pool } from 'undici'
 import type { StoreFault } from './errors.js'
+import { RenewedPool } from './renewedPool.js'
 import type { StoreObserver } from './types.js'
 
 /** Options of the HTTP clients. */
@@ -60,20 +60,15 @@
  * @param options - base URL, time limit, pool size and observer
  */
 export const createHttpCaller = (options: HttpStoreOptions): HttpCaller => {
-  const pool = new Pool(options.url, {
+  const pool = new RenewedPool(options.url, {
     connections: options.connections ?? DEFAULT_CONNECTIONS,
     connect: { timeout: options.timeoutMs }
   })
   const send = async ({ method, path, body, timeoutMs, acceptedStatuses }: HttpCall): Promise<Result<HttpReply, StoreFault>> => {
     try {
-      const res = await pool.request({
-        method,
-        path,
-        body: body ?? null,
-        headers: typeof body === 'string' ? { 'content-type': 'application/json' } : {},
-        signal: AbortSignal.timeout(timeoutMs ?? options.timeoutMs)
-      })
-      return classifyReply({ status: res.statusCode, body: await res.body.bytes() }, acceptedStatuses ?? [])
+      const headers: Record<string, string> = typeof body === 'string' ? { 'content-type': 'application/json' } : {}
+      const reply = await pool.request({ method, path, body: body ?? null, headers }, timeoutMs ?? options.timeoutMs)
+      return classifyReply(reply, acceptedStatuses ?? [])
     } catch (err) {
       return fail(classifyError(err))
     }
