--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -2,14 +2,14 @@
 import { create } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { Interceptor } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
 import { createLogger, errorMessage } from '@hazellift/common'
 import { Outbox } from '@hazellift/coordination'
 import type { AddToFrame, SessionHost } from '@hazellift/coordination'
 import { AgentFrameSchema, CLUSTER_TOKEN_HEADER, HelloSchema, SessionService } from '@hazellift/protocol'
-import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
+import type { AgentFrame } from '@hazellift/protocol'
 import type { DialHandle } from './entryDialer.js'
 import type { KeepAliveMonitor, SessionWatch, Silence } from './keepAliveMonitor.js'
+import { openConnection } from './openConnection.js'
 
 /** Dependencies of the sessions of an agent. */
 export interface DialOptions {
@@ -59,17 +59,6 @@
   ending.abort()
 }
 
-const openStream = (address: string, options: DialOptions, frames: AsyncIterable<AgentFrame>, signal: AbortSignal): AsyncIterable<EntryFrame> => {
-  const transport = createConnectTransport({
-    baseUrl: `http://${address}`,
-    httpVersion: '2',
-    // Compressing the larger frames takes 8% of an entry's processor time and 4% of an agent's under load.
-    acceptCompression: [],
-    interceptors: [addToken(options.clusterToken)]
-  })
-  return createClient(SessionService, transport).open(frames, { signal })
-}
-
 /**
  * Runs one session with an entry; resolves when it has ended, for whatever reason.
  *
@@ -102,8 +91,10 @@
   handle.signal.addEventListener('abort', () => ending.abort(), { signal })
   if (handle.signal.aborted) ending.abort()
   handle.retired.addEventListener('abort', () => { void retire(host, peer, add, ending) }, { signal })
+  const connection = openConnection(address, [addToken(options.clusterToken)])
+  const client = createClient(SessionService, connection.transport)
   try {
-    for await (const frame of openStream(address, options, filledFrames(host, outbox, peer, watch), signal)) {
+    for await (const frame of client.open(filledFrames(host, outbox, peer, watch), { signal })) {
       watch.onReceived()
       if (frame.welcome !== undefined) {
         if (!handle.isNeeded()) break
@@ -122,6 +113,7 @@
     watch.stop()
     ending.abort()
     outbox.close()
+    connection.close()
     if (peer.incarnation !== '') host.closeSession(peer.incarnation, add)
   }
 }
--- a/packages/sessions/src/handOnStreams.ts
+++ b/packages/sessions/src/handOnStreams.ts
@@ -2,13 +2,13 @@
 import { create } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
 import { createLogger, errorMessage } from '@hazellift/common'
 import { Outbox } from '@hazellift/coordination'
 import type { HandedOnJobs, HandOnLink, HandOnPeer, HostedJobs, OriginPeer } from '@hazellift/coordination'
 import type { EntryLocation } from '@hazellift/decisions'
 import { CallerFrameSchema, HandOnHelloSchema, HandOnService, HostFrameSchema } from '@hazellift/protocol'
 import type { CallerFrame, HostFrame } from '@hazellift/protocol'
+import { openConnection } from './openConnection.js'
 
 const log = createLogger('entry:hand-on')
 
@@ -44,9 +44,9 @@
       yield frame
     }
   }
-  const transport = createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '2', acceptCompression: [] })
+  const connection = openConnection(address)
   try {
-    for await (const frame of createClient(HandOnService, transport).open(filledFrames(), { signal: ending.signal })) {
+    for await (const frame of createClient(HandOnService, connection.transport).open(filledFrames(), { signal: ending.signal })) {
       if (peer === undefined) {
         peer = jobs.open(address, zone, link)
         log('stream_open', { address })
@@ -58,6 +58,7 @@
   } finally {
     end()
     outbox.close()
+    connection.close()
     if (peer !== undefined) jobs.closed(peer)
   }
 }
