One silent connection makes an agent check its other sessions at once

What callers saw: sessions came back one after the other for half a second after their connections had gone silent together.

Cause: correlated failures judged one by one. What one connection of a process had shown said nothing of its others, and idle ones are suspected only after 500 ms.

Change: once a connection has proved to be silent, as another one to the same entry works, the agent sends a probe on each other session, which the entry answers at once; one that has not answered after 50 ms is suspected, and so replaced beside, as before. A new field of the agent's frame; entries that do not know it do not answer, which costs a connection that is not used.

Tests: tables of KeepAliveMonitor and keepSession.

--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -135,6 +135,7 @@
         onReceived()
         observe.read(frame)
         if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
+        if (frame.probe) session.link.add(() => {})
         if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
       }
     } catch (err) {
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -77,6 +77,7 @@
     // A session counts as busy until the welcome: an entry that does not answer must be detected soon.
     isBusy: () => peer.incarnation === '' || host.isBusyWith?.(peer.incarnation) !== false,
     sendKeepAlive: () => outbox.add(() => {}),
+    sendProbe: () => outbox.add((frame) => { frame.probe = true }),
     onSuspected: ({ silentMs, isBusy }) => {
       if (handle.retired.aborted) return
       log('session_suspected', { address, silent: Math.round(silentMs), busy: isBusy })
--- a/packages/sessions/src/entryDialer.ts
+++ b/packages/sessions/src/entryDialer.ts
@@ -44,6 +44,8 @@
   seedIntervalMs: number
   /** Runs one session; resolves when it has ended. */
   dial: (address: string, handle: DialHandle) => Promise<void>
+  /** Called when a connection has proved to be silent, as another one to the same entry works. */
+  onSilent?: () => void
 }
 
 const BACKOFF = { baseMs: 50, maxMs: 2000 }
@@ -197,6 +199,7 @@
         dial.openSessions--
         dial.closedAt = clock.now()
       },
+      onReplaced: () => this.options.onSilent?.(),
       onEntries: (entries) => this.onEntries(address, entries)
     })
   }
--- a/packages/sessions/src/keepAliveMonitor.test.ts
+++ b/packages/sessions/src/keepAliveMonitor.test.ts
@@ -14,6 +14,8 @@
   busyFrom?: number
   /** This process does not run between these times; timers go on afterwards as if no time had passed. */
   paused?: [number, number]
+  /** When the connection of another session has proved to be silent. */
+  probedAt?: number
   keepAlivesAt: number[]
   suspectedAt?: number[]
   timedOutAt?: number
@@ -30,16 +32,19 @@
     { name: 'a session that becomes busy uses the shorter interval from the next check on', lengthMs: 300, busyFrom: 190, keepAlivesAt: [200] },
     { name: 'a busy session times out after the busy timeout', lengthMs: 600, busyFrom: 0, receivedAt: [0], keepAlivesAt: [150, 300, 450], suspectedAt: [250], timedOutAt: 550 },
     { name: 'an idle session times out after the idle timeout', lengthMs: 1100, receivedAt: [0], keepAlivesAt: [300, 600, 900], suspectedAt: [500], timedOutAt: 1050 },
+    { name: 'a session is suspected if it does not answer a probe', lengthMs: 400, receivedAt: [0], probedAt: 220, keepAlivesAt: [300], suspectedAt: [270] },
+    { name: 'a session that answers a probe is not suspected', lengthMs: 400, receivedAt: [0, 225], probedAt: 220, keepAlivesAt: [300] },
     { name: 'a suspicion that proved wrong is not repeated for five seconds', lengthMs: 6800, receivedAt: [0, 620, 1200, 1800, 2400, 3000, 3600, 4200, 4800, 5400, 6000], keepAlivesAt: Array.from({ length: 22 }, (_, index) => 300 * (index + 1)), suspectedAt: [500, 5900] },
     { name: 'a session is not suspected right after a pause of this process, whose frames are still to be read', lengthMs: 500, busyFrom: 0, receivedAt: [0, 160], paused: [140, 380], keepAlivesAt: [390] }
   ]
-  it.each(cases)('$name', ({ lengthMs, sentAt = [], receivedAt, busyFrom = Infinity, paused: [pausedAt, resumedAt] = [Infinity, Infinity], keepAlivesAt, suspectedAt = [], timedOutAt }) => {
+  it.each(cases)('$name', ({ lengthMs, sentAt = [], receivedAt, busyFrom = Infinity, paused: [pausedAt, resumedAt] = [Infinity, Infinity], probedAt, keepAlivesAt, suspectedAt = [], timedOutAt }) => {
     const startedAt = Date.now()
     const passed = (): number => Date.now() - startedAt
     const keepAlives: number[] = []
     const suspected: number[] = []
     let timedOut: number | undefined
-    const watch = new KeepAliveMonitor(OPTIONS, Date.now).watch({
+    const monitor = new KeepAliveMonitor(OPTIONS, Date.now)
+    const watch = monitor.watch({
       isBusy: () => passed() >= busyFrom,
       sendKeepAlive: () => {
         keepAlives.push(passed())
@@ -48,6 +53,7 @@
       onSuspected: () => { suspected.push(passed()) },
       onTimeout: () => { timedOut ??= passed() }
     })
+    if (probedAt !== undefined) setTimeout(() => monitor.probeAll(), probedAt)
     for (const at of sentAt) setTimeout(watch.onSent, at)
     for (const at of receivedAt ?? Array.from({ length: 20 }, (_, index) => index * 100)) setTimeout(watch.onReceived, at)
     if (pausedAt < lengthMs) {
--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -30,7 +30,9 @@
   isBusy: () => boolean
   /** Sends an empty frame. */
   sendKeepAlive: () => void
-  /** Called once for each silence that reaches `suspectMs`, unless frames arrived after an earlier one a moment ago. */
+  /** Sends a frame that asks the other side for one at once. */
+  sendProbe?: () => void
+  /** Called once for each silence that reaches `suspectMs`, or if a probe is not answered, unless frames arrived after an earlier suspicion a moment ago. */
   onSuspected?: (silence: Silence) => void
   /** Called when no frame arrived within the timeout; called again at each check until the session is no longer watched. */
   onTimeout: (silence: Silence) => void
@@ -56,12 +58,16 @@
  * again, in ms: an overloaded peer would otherwise get a new connection for each pause.
  */
 const FALSE_ALARM_PAUSE_MS = 5000
+/** Time without a received frame after a probe until the session is suspected, in ms: a round trip takes a few, and an entry under load tens. */
+const PROBE_TIMEOUT_MS = 50
 
 /** A session with what the monitor knows of it; times on the monitor's clock. */
 class WatchedSession {
   sentAt: number
   receivedAt: number
   isSuspected = false
+  /** When a probe was sent that no received frame has followed yet. */
+  private probedAt: number | undefined
   private mayBeSuspectedFrom = -Infinity
 
   constructor (readonly session: MonitoredSession, now: number) {
@@ -73,6 +79,17 @@
     this.receivedAt = now
     if (this.isSuspected) this.mayBeSuspectedFrom = now + FALSE_ALARM_PAUSE_MS
     this.isSuspected = false
+    this.probedAt = undefined
+  }
+
+  probe (now: number): void {
+    if (this.isSuspected || this.probedAt !== undefined) return
+    this.probedAt = now
+    this.session.sendProbe?.()
+  }
+
+  isProbeUnanswered (now: number): boolean {
+    return this.probedAt !== undefined && now - this.probedAt >= PROBE_TIMEOUT_MS
   }
 
   suspect (now: number, silence: Silence): void {
@@ -111,6 +128,13 @@
     }
   }
 
+  /** Checks all sessions now, as the connection of one of them has gone silent: others of this process may have, too. */
+  probeAll (): void {
+    const now = this.now()
+    for (const watched of this.watched) watched.probe(now)
+    setTimeout(() => this.check(), PROBE_TIMEOUT_MS)
+  }
+
   private stop (watched: WatchedSession): void {
     this.watched.delete(watched)
     if (this.watched.size > 0) return
@@ -137,7 +161,7 @@
     const { keepAliveMs, suspectMs = Infinity, timeoutMs } = isBusy ? this.options.busy : this.options.idle
     const silence = { silentMs: now - receivedAt, isBusy }
     if (silence.silentMs > timeoutMs) return session.onTimeout(silence)
-    if (silence.silentMs >= suspectMs && !wasPaused) watched.suspect(now, silence)
+    if (!wasPaused && (silence.silentMs >= suspectMs || watched.isProbeUnanswered(now))) watched.suspect(now, silence)
     if (now - sentAt >= keepAliveMs - CHECK_INTERVAL_MS / 2) session.sendKeepAlive()
   }
 }
--- a/packages/sessions/src/keepSession.test.ts
+++ b/packages/sessions/src/keepSession.test.ts
@@ -17,7 +17,8 @@
       retired: new AbortController().signal,
       onEntries: () => {},
       onOpen: () => { this.log.push('open') },
-      onClosed: () => { this.log.push('closed') }
+      onClosed: () => { this.log.push('closed') },
+      onReplaced: () => { this.log.push('replaced') }
     })
     void kept.then(() => { this.hasEnded = true })
   }
@@ -66,7 +67,7 @@
     {
       name: 'is replaced once another connection works',
       steps: [...OPEN_AND_SUSPECT, (fixture) => fixture.welcome(1)],
-      log: ['open', 'open', 'end 0', 'closed'],
+      log: ['open', 'open', 'end 0', 'replaced', 'closed'],
       sessions: 2,
       hasEnded: false
     },
@@ -80,7 +81,7 @@
     {
       name: 'may time out while the other connection is still being opened',
       steps: [...OPEN_AND_SUSPECT, ({ sessions }) => sessions[0]!.end(), (fixture) => fixture.welcome(1)],
-      log: ['open', 'end 0', 'closed', 'open'],
+      log: ['open', 'end 0', 'closed', 'open', 'replaced'],
       sessions: 2,
       hasEnded: false
     },
@@ -94,7 +95,7 @@
     {
       name: 'ends with all that replaced it',
       steps: [...OPEN_AND_SUSPECT, (fixture) => fixture.welcome(1), (fixture) => fixture.suspect(1), ({ stop }) => stop.abort()],
-      log: ['open', 'open', 'end 0', 'closed', 'end 1', 'end 2', 'closed'],
+      log: ['open', 'open', 'end 0', 'replaced', 'closed', 'end 1', 'end 2', 'closed'],
       sessions: 3,
       hasEnded: true
     }
--- a/packages/sessions/src/keepSession.ts
+++ b/packages/sessions/src/keepSession.ts
@@ -6,6 +6,8 @@
   onOpen: () => void
   /** A session that was open has ended. */
   onClosed: () => void
+  /** Another connection has taken the place of one that is silent. */
+  onReplaced: () => void
 }
 
 /**
@@ -18,7 +20,7 @@
  * @param kept - ends the sessions, and is notified of their events
  * @returns resolves once the session and all that replaced it have ended
  */
-export const keepSession = (dial: (handle: DialHandle) => Promise<void>, { signal, retired, onEntries, onOpen, onClosed }: KeptSession): Promise<void> => {
+export const keepSession = (dial: (handle: DialHandle) => Promise<void>, { signal, retired, onEntries, onOpen, onClosed, onReplaced }: KeptSession): Promise<void> => {
   const run = async (isNeeded: () => boolean, replacePrevious: () => void): Promise<void> => {
     const replaced = new AbortController()
     let isOpen = false
@@ -34,7 +36,11 @@
         replacePrevious()
       },
       onSuspected: (isSilent) => {
-        replacement ??= run(isSilent, () => replaced.abort()).finally(() => { replacement = undefined })
+        const replace = (): void => {
+          replaced.abort()
+          onReplaced()
+        }
+        replacement ??= run(isSilent, replace).finally(() => { replacement = undefined })
       }
     })
     if (isOpen) onClosed()
