Agents that are dialling again count as capacity for 300 ms

What callers saw: 503 'no endpoint serves' for jobs that came in the moment between the end of all sessions and the next dial, though every endpoint was there.

Cause: unreachable was taken for gone. Admission and forecast counted agents with a session only.

Change: an agent whose session has ended counts as capacity for 300 ms, in which an agent that lives has dialled again; starts still go to agents with a session only. An agent that has not dialled by then is no capacity, and jobs are refused at once, as before.

--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -54,6 +54,8 @@
   capacity = NO_CAPACITY
   /** Unset without a session. */
   link: AgentLink | undefined
+  /** When its last session ended, in ms on the entry's clock. */
+  closedAt = -Infinity
   /** True once the agent has listed, on this session, the tasks that it has from this entry. */
   isResumed = false
   /** The agent takes no more starts. */
@@ -119,6 +121,12 @@
     this.remaining = NO_CAPACITY
   }
 
+  /** Ends the session, if there is one. */
+  disconnect (now: number): void {
+    if (this.link !== undefined) this.closedAt = now
+    this.link = undefined
+  }
+
   /** Handles free capacity that the agent reported, and the number of starts that it reflects. */
   setFreeCapacity ({ cpuMilli, memoryMb, startsSeen }: Room): void {
     this.unseenNeeds.splice(0, startsSeen - this.startsSeen)
--- a/packages/coordination/src/leased/leasedFleet.ts
+++ b/packages/coordination/src/leased/leasedFleet.ts
@@ -41,6 +41,11 @@
  * capacity: no waits are forecast for this time after the latest change.
  */
 const LEARNING_MS = 300
+/**
+ * How long an agent whose session has ended still counts as capacity, in ms. If it lives,
+ * it has another session by then; a job that is refused meanwhile is refused for nothing.
+ */
+const RECONNECT_MS = 300
 /** The load is calculated again at most this often, because under overload every frame to an agent needs it. */
 const MAX_LOAD_AGE_MS = 10
 
@@ -85,8 +90,14 @@
 
   /** Agents of a service that take starts. */
   agentsOf (service: string): LeasedAgent[] {
-    return [...this.agents.values()].filter((agent) =>
-      agent.service === service && agent.link !== undefined && !agent.isLeaving && !this.evacuations.has(agent.zone))
+    return this.presentAgentsOf(service).filter(({ link }) => link !== undefined)
+  }
+
+  /** Agents of a service that take starts, now or as soon as they have another session. */
+  private presentAgentsOf (service: string): LeasedAgent[] {
+    const mayReconnectSince = this.options.clock.now() - RECONNECT_MS
+    return [...this.agents.values()].filter((agent) => agent.service === service && !agent.isLeaving && !this.evacuations.has(agent.zone) &&
+      (agent.link !== undefined || agent.closedAt > mayReconnectSince))
   }
 
   /** Returns a service, creating it on first use. */
@@ -108,7 +119,7 @@
 
   /** Processor capacity of all endpoints of a service, in thousandths of a core. */
   capacityMilli (service: string): number {
-    return this.agentsOf(service).reduce((sum, { capacity }) => sum + capacity.cpuMilli, 0)
+    return this.presentAgentsOf(service).reduce((sum, { capacity }) => sum + capacity.cpuMilli, 0)
   }
 
   /** Number of waiting jobs of a kind of which no task may have run. */
@@ -128,7 +139,7 @@
   /** Processor capacity in use by this entry's runs, in thousandths of a core. */
   runningMilli (service: string): number {
     let milli = 0
-    for (const agent of this.agentsOf(service)) {
+    for (const agent of this.presentAgentsOf(service)) {
       for (const { job } of agent.sent.values()) milli += job.need.cpuMilli
     }
     return milli
@@ -145,7 +156,7 @@
   private calculateLoad (service: string): LoadView {
     const { load } = this.serviceOf(service)
     // Each endpoint is shared by the entries that its agent has sessions with.
-    const shareMilli = this.agentsOf(service).reduce((sum, { capacity, entryCount }) => sum + capacity.cpuMilli / entryCount, 0)
+    const shareMilli = this.presentAgentsOf(service).reduce((sum, { capacity, entryCount }) => sum + capacity.cpuMilli / entryCount, 0)
     const isLearning = this.options.clock.now() - this.endpointsChangedAt < LEARNING_MS || shareMilli === 0
     const expectedMilli = isLearning ? Infinity : Math.max(this.runningMilli(service), shareMilli)
     const servedMilli = load.servedMilli(expectedMilli)
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -121,7 +121,7 @@
 
   closed (agent: LeasedAgent, link: AgentLink): void {
     if (agent.link !== link) return
-    agent.link = undefined
+    agent.disconnect(this.options.clock.now())
     this.options.events.agentChanged(agent, 'session_closed')
   }
 
@@ -231,7 +231,7 @@
   private removeAgent (agent: LeasedAgent): void {
     const { fleet } = this.options
     agent.link?.close()
-    agent.link = undefined
+    agent.disconnect(this.options.clock.now())
     fleet.agents.delete(agent.agentId)
     fleet.healthOf(agent)?.remove(agent.agentId)
     if (agent.sent.size > 0) this.replacedAgents.add(agent)
@@ -265,7 +265,7 @@
     // A frame that is already being sent must echo no timestamp.
     agent.stampMs = 0
     if (link === undefined) return
-    agent.link = undefined
+    agent.disconnect(this.options.clock.now())
     link.close()
     this.options.events.agentChanged(agent, 'session_closed')
   }
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -81,6 +81,8 @@
   readonly runEvents: Array<{ type: 'start' | 'crash', task: string, at: number }> = []
   /** Called when an entry notices a change of an agent. */
   onAgentChanged: LeasedDispatchEvents['agentChanged'] = () => {}
+  /** Number of runs that entries stopped for taking far too long. */
+  movedRunCount = 0
   /** Number of frames that entries sent. */
   entryFrameCount = 0
   private readonly pairs: Pair[] = []
@@ -136,6 +138,19 @@
     for (const pair of this.pairs) if (pair.agent === agent && pair.entry === entry) pair.isCut = isCut
   }
 
+  /** Resets the connections of all agents to an entry; they dial again at once. */
+  resetConnections (entry: number): void {
+    for (const pair of this.pairs) if (pair.entry === entry) this.drop(pair)
+  }
+
+  /** Makes the connection of an agent to an entry silent; after `replacedAfterMs` the agent has replaced it. */
+  async silence (agent: number, entry: number, replacedAfterMs: number): Promise<void> {
+    this.cut(agent, entry, true)
+    await this.advance(replacedAfterMs)
+    for (const pair of this.pairs) if (pair.agent === agent && pair.entry === entry) this.drop(pair)
+    this.cut(agent, entry, false)
+  }
+
   /** Ends the process of an agent; another one starts at once if `restarts`. */
   killAgent (index: number, restarts = true): void {
     const agent = this.agents[index]!
@@ -201,7 +216,7 @@
       random: seededRandom(index),
       zone: ZONE,
       times: this.times,
-      events: { ...NO_EVENTS, agentChanged: (agent, change) => this.onAgentChanged(agent, change), configSeen: (_version, document) => this.configDocuments.push({ entry: index, text: Buffer.from(document).toString() }) },
+      events: { ...NO_EVENTS, agentChanged: (agent, change) => this.onAgentChanged(agent, change), moved: () => { this.movedRunCount++ }, configSeen: (_version, document) => this.configDocuments.push({ entry: index, text: Buffer.from(document).toString() }) },
       maxEjectedShare: 0.4,
       ejectionBackoff: () => 1000,
       defer: (fn) => { setImmediate(() => process.run(fn)) }
