Runs are not moved while their agent is not heard

What callers saw: nothing by itself.

Cause: silence of a connection was taken for slowness of the endpoint.

Change: only runs at agents that were heard in the last 200 ms (busy ones send a frame every 150), and that have listed their tasks on the present session, are looked at.

silentConnections.test.ts, 'moves no run whose result cannot arrive', failed before (one run moved).

--- a/packages/coordination/src/leased/findStragglers.ts
+++ b/packages/coordination/src/leased/findStragglers.ts
@@ -8,6 +8,9 @@
   agent: LeasedAgent
 }
 
+/** An agent with runs sends a frame every 150 ms; after a longer silence in ms, results may be waiting there, and a revoke would not arrive. */
+const MAX_SILENCE_MS = 200
+
 /**
  * Finds the runs to move to another agent. A task is moved at most once, not after one
  * of its starts was refused or failed, and only if another agent has free capacity.
@@ -25,7 +28,8 @@
     usualMs: runTimes.expect(job.kind, 0),
     slowness
   })
-  return [...fleet.agents.values()].flatMap((agent) => [...agent.sent.values()]
+  const isHeard = ({ link, isResumed, receivedAt }: LeasedAgent): boolean => link !== undefined && isResumed && now - receivedAt <= MAX_SILENCE_MS
+  return [...fleet.agents.values()].filter(isHeard).flatMap((agent) => [...agent.sent.values()]
     .filter((sent) => {
       const { job, index } = sent
       const { isMoving, avoidedAgents } = job.tasks[index]!
