After a silence an agent probes its sessions more often for three seconds

What callers saw: while connections went silent again and again, half of the jobs were late.

Cause: what had just happened did not change how closely connections were watched: each next silence was found by the usual intervals again.

Change: for 3 s after a connection has proved to be silent, each session on which nothing arrived for 150 ms is probed, and suspected 50 ms later.

Tests: the table of KeepAliveMonitor.

--- a/packages/sessions/src/keepAliveMonitor.test.ts
+++ b/packages/sessions/src/keepAliveMonitor.test.ts
@@ -33,7 +33,9 @@
     { name: 'a busy session times out after the busy timeout', lengthMs: 600, busyFrom: 0, receivedAt: [0], keepAlivesAt: [150, 300, 450], suspectedAt: [250], timedOutAt: 550 },
     { name: 'an idle session times out after the idle timeout', lengthMs: 1100, receivedAt: [0], keepAlivesAt: [300, 600, 900], suspectedAt: [500], timedOutAt: 1050 },
     { name: 'a session is suspected if it does not answer a probe', lengthMs: 400, receivedAt: [0], probedAt: 220, keepAlivesAt: [300], suspectedAt: [270] },
-    { name: 'a session that answers a probe is not suspected', lengthMs: 400, receivedAt: [0, 225], probedAt: 220, keepAlivesAt: [300] },
+    { name: 'a session that answers a probe is not suspected', lengthMs: 400, receivedAt: [0, 225, 380], probedAt: 220, keepAlivesAt: [300] },
+    { name: 'after another connection went silent, a silence is found sooner for three seconds', lengthMs: 3500, receivedAt: [0, 225, ...Array.from({ length: 25 }, (_, index) => 300 + 100 * index)], probedAt: 220, keepAlivesAt: Array.from({ length: 11 }, (_, index) => 300 * (index + 1)), suspectedAt: [2900] },
+    { name: 'and after that as usual', lengthMs: 4000, receivedAt: [0, 225, ...Array.from({ length: 33 }, (_, index) => 300 + 100 * index)], probedAt: 220, keepAlivesAt: Array.from({ length: 13 }, (_, index) => 300 * (index + 1)), suspectedAt: [4000] },
     { name: 'a suspicion that proved wrong is not repeated for five seconds', lengthMs: 6800, receivedAt: [0, 620, 1200, 1800, 2400, 3000, 3600, 4200, 4800, 5400, 6000], keepAlivesAt: Array.from({ length: 22 }, (_, index) => 300 * (index + 1)), suspectedAt: [500, 5900] },
     { name: 'a session is not suspected right after a pause of this process, whose frames are still to be read', lengthMs: 500, busyFrom: 0, receivedAt: [0, 160], paused: [140, 380], keepAlivesAt: [390] }
   ]
@@ -53,7 +55,7 @@
       onSuspected: () => { suspected.push(passed()) },
       onTimeout: () => { timedOut ??= passed() }
     })
-    if (probedAt !== undefined) setTimeout(() => monitor.probeAll(), probedAt)
+    if (probedAt !== undefined) setTimeout(() => monitor.onSilent(), probedAt)
     for (const at of sentAt) setTimeout(watch.onSent, at)
     for (const at of receivedAt ?? Array.from({ length: 20 }, (_, index) => index * 100)) setTimeout(watch.onReceived, at)
     if (pausedAt < lengthMs) {
--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -60,6 +60,10 @@
 const FALSE_ALARM_PAUSE_MS = 5000
 /** Time without a received frame after a probe until the session is suspected, in ms: a round trip takes a few, and an entry under load tens. */
 const PROBE_TIMEOUT_MS = 50
+/** How long further connections are expected to go silent after one has, in ms. */
+const ALERT_MS = 3000
+/** Time without a received frame after which a session is probed while that is expected, in ms: the interval of a busy session's frames. */
+const ALERT_SILENCE_MS = 150
 
 /** A session with what the monitor knows of it; times on the monitor's clock. */
 class WatchedSession {
@@ -82,6 +86,7 @@
     this.probedAt = undefined
   }
 
+  /** Sends a probe, unless there is no answer yet to an earlier one. */
   probe (now: number): void {
     if (this.isSuspected || this.probedAt !== undefined) return
     this.probedAt = now
@@ -108,6 +113,7 @@
   private readonly watched = new Set<WatchedSession>()
   private timer: NodeJS.Timeout | undefined
   private checkedAt = 0
+  private alertUntil = -Infinity
 
   /**
    * @param options - intervals and timeouts
@@ -128,10 +134,19 @@
     }
   }
 
-  /** Checks all sessions now, as the connection of one of them has gone silent: others of this process may have, too. */
-  probeAll (): void {
+  /**
+   * The connection of a session has gone silent. Others of this process may have, too, so
+   * all are probed now, and again for a while whenever nothing arrives on them.
+   */
+  onSilent (): void {
     const now = this.now()
-    for (const watched of this.watched) watched.probe(now)
+    this.alertUntil = now + ALERT_MS
+    this.probe(now, [...this.watched])
+  }
+
+  private probe (now: number, sessions: WatchedSession[]): void {
+    if (sessions.length === 0) return
+    for (const watched of sessions) watched.probe(now)
     setTimeout(() => this.check(), PROBE_TIMEOUT_MS)
   }
 
@@ -153,6 +168,7 @@
     const wasPaused = now - this.checkedAt >= 2 * CHECK_INTERVAL_MS
     this.checkedAt = now
     for (const watched of [...this.watched]) this.checkSession(watched, now, wasPaused)
+    if (now < this.alertUntil && !wasPaused) this.probe(now, [...this.watched].filter(({ receivedAt }) => now - receivedAt >= ALERT_SILENCE_MS))
   }
 
   private checkSession (watched: WatchedSession, now: number, wasPaused: boolean): void {
