A connection without a welcome yet is not replaced

Cause: suspicion began with the dial; there is no session yet that could be kept.

Change: only a session that is open is suspected; a dial without a welcome ends with the timeout of 500 ms as before.

--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -79,7 +79,8 @@
     sendKeepAlive: () => outbox.add(() => {}),
     sendProbe: () => outbox.add((frame) => { frame.probe = true }),
     onSuspected: ({ silentMs, isBusy }) => {
-      if (handle.retired.aborted) return
+      // An entry that takes long to welcome agents would only get more connections to welcome.
+      if (peer.incarnation === '' || handle.retired.aborted) return
       log('session_suspected', { address, silent: Math.round(silentMs), busy: isBusy })
       handle.onSuspected(() => watch.isSuspected() || signal.aborted)
     },
