--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -66,12 +66,19 @@
   traffic.heldAnswers = undefined
 }
 
+/** Where a relay listens; port 0 is any free one. */
+interface ListenAddress {
+  host: string
+  port: number
+}
+
 /**
- * Starts a relay on a free port of loopback.
+ * Starts a relay on loopback.
  *
  * @param target - host:port to forward to; may be set later by `setTarget`
+ * @param listenAddress - a free port of 127.0.0.1 by default
  */
-export const startRelay = async (target = ''): Promise<Relay> => {
+export const startRelay = async (target = '', { host, port: requestedPort }: ListenAddress = { host: '127.0.0.1', port: 0 }): Promise<Relay> => {
   const sockets = new Set<Socket>()
   let targetAddress = target
   const traffic: Traffic = { bytes: 0, delayMs: 0, heldAnswers: undefined, silenced: new WeakSet() }
@@ -101,12 +108,12 @@
     if (isSevered) socket.destroy()
     else forward(socket)
   })
-  server.listen(0, '127.0.0.1')
+  server.listen(requestedPort, host)
   await once(server, 'listening')
   const { port } = server.address() as AddressInfo
   const cut = (): void => { for (const socket of [...sockets]) socket.destroy() }
   return {
-    address: `127.0.0.1:${port}`,
+    address: `${host}:${port}`,
     setTarget: (address) => { targetAddress = address },
     cut,
     sever: () => { isSevered = true; cut() },
@@ -119,7 +126,7 @@
     holdAnswers: () => { traffic.heldAnswers ??= [] },
     delay: (ms) => { traffic.delayMs = ms },
     heal: () => {
-      if (!server.listening) server.listen(port, '127.0.0.1')
+      if (!server.listening) server.listen(port, host)
       isSevered = false
       isFrozen = false
       resetTraffic(traffic)
