The product's own agent replaces suspected sessions, too

It now opens another session beside one that has been silent for half of it; the dispatcher takes an agent's later session in place of an earlier one already.

--- a/packages/agent/src/startAgent.ts
+++ b/packages/agent/src/startAgent.ts
@@ -54,11 +54,15 @@
   return { host, endpoint }
 }
 
+/** A session is suspected to be silent after this share of its timeout, which leaves time to open another one beside it. */
+const SUSPECT_SHARE = 0.5
+
 /** Creates the dialer. Slots are granted to each entry separately, so the agent keeps a session with every entry. */
 const createDialer = (settings: AgentSettings, host: TaskHost): EntryDialer => {
   const { agentId, zone, clusterToken, keepAliveMs, sessionTimeoutMs: timeoutMs, seeds } = settings
-  const times = { keepAliveMs, timeoutMs }
-  const options = { host, agentId, incarnation: ulid(), zone, clusterToken, keepAliveMonitor: new KeepAliveMonitor({ busy: times, idle: times }) }
+  const times = { keepAliveMs, suspectMs: timeoutMs * SUSPECT_SHARE, timeoutMs }
+  const keepAliveMonitor = new KeepAliveMonitor({ busy: times, idle: times })
+  const options = { host, agentId, incarnation: ulid(), zone, clusterToken, keepAliveMonitor }
   return new EntryDialer({
     clock: systemClock,
     random: Math.random,
@@ -67,7 +71,8 @@
     limits: ALL_ENTRIES,
     seeds,
     seedIntervalMs: 0,
-    dial: (address, handle) => dialEntry(address, options, handle)
+    dial: (address, handle) => dialEntry(address, options, handle),
+    onSilent: () => keepAliveMonitor.onSilent()
   })
 }
 
