A session that was closed sends no more state of its agent

Found by reading: with a session replaced beside, a frame that waits on the old one when it is closed was filled with the agent's present state, and took a document or a request that was due on the new session along into the silence. It could happen before, when an agent dialled again sooner than the entry's timeout.

Now such a frame carries nothing; it echoes no timestamp either, as was meant for sessions that end because this process may have been suspended.

createSessions.test.ts, 'carry none once it was closed', failed before (7 for 0).

--- /dev/null
+++ b/packages/sessions/src/createSessions.test.ts
@@ -0,0 +1,52 @@
+import { create } from '@bufbuild/protobuf'
+import type { HandlerContext } from '@connectrpc/connect'
+import type { AgentLink, SessionDispatcher } from '@hazellift/coordination'
+import { AgentFrameSchema, HelloSchema } from '@hazellift/protocol'
+import type { AgentFrame, EntryFrame, Hello } from '@hazellift/protocol'
+import { describe, expect, it } from 'vitest'
+import { createSessions } from './createSessions.js'
+
+const TIMES = { keepAliveMs: 1000, timeoutMs: 3000 }
+const ECHO_STAMP_MS = 7
+
+/** An agent that introduces itself and then sends nothing. */
+async function * introduce (): AsyncGenerator<AgentFrame> {
+  yield create(AgentFrameSchema, { hello: create(HelloSchema, { agentId: 'a', incarnation: 'a-1', zone: 'z' }) })
+  await new Promise(() => {})
+}
+
+describe('frames that an entry sends on a session', () => {
+  const cases = [
+    { name: 'carry the state of the agent while the session is open', isClosed: false, echoStampMs: ECHO_STAMP_MS },
+    { name: 'carry none once it was closed, as that belongs to the next session', isClosed: true, echoStampMs: 0 }
+  ]
+  it.each(cases)('$name', async ({ isClosed, echoStampMs }) => {
+    const links: AgentLink[] = []
+    const dispatcher: SessionDispatcher<Hello> = {
+      open: (hello, link) => {
+        links.push(link)
+        return hello
+      },
+      closed: () => {},
+      onFrame: () => {},
+      fillFrame: (_agent, frame) => { frame.echoStampMs = ECHO_STAMP_MS }
+    }
+    const { service, closeAll } = createSessions({
+      dispatcher,
+      observe: { read: () => {}, sent: () => {} },
+      entryId: 'e',
+      incarnation: 'e-1',
+      keepAlive: { busy: TIMES, idle: TIMES },
+      entries: () => []
+    })
+    const context = { signal: new AbortController().signal } as HandlerContext
+    const frames = (service.open(introduce(), context) as AsyncIterable<EntryFrame>)[Symbol.asyncIterator]()
+    await frames.next()
+    links[0]!.add(() => {})
+    if (isClosed) links[0]!.close()
+    const { value } = await frames.next()
+    expect((value as EntryFrame).echoStampMs).toBe(echoStampMs)
+    closeAll()
+    await frames.return?.()
+  })
+})
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -40,6 +40,8 @@
   link: AgentLink
   /** Set once the agent's hello was received. */
   agent: Agent | undefined
+  /** True once the link was closed: a frame that is still to be sent then carries no state, as another session may have begun. */
+  isClosed: boolean
   /** Number of the last result received; acknowledged with the next frame. */
   ackedSeq: bigint
 }
@@ -87,8 +89,15 @@
   private async * open (frames: AsyncIterable<AgentFrame>, context: HandlerContext): AsyncGenerator<EntryFrame> {
     const { dispatcher, observe } = this.options
     const outbox = this.openOutbox()
-    const link: AgentLink = { add: (change) => outbox.add(change), acknowledge: (seq) => { session.ackedSeq = seq }, close: () => outbox.close() }
-    const session: Session<Agent> = { link, agent: undefined, ackedSeq: 0n }
+    const link: AgentLink = {
+      add: (change) => outbox.add(change),
+      acknowledge: (seq) => { session.ackedSeq = seq },
+      close: () => {
+        session.isClosed = true
+        outbox.close()
+      }
+    }
+    const session: Session<Agent> = { link, agent: undefined, isClosed: false, ackedSeq: 0n }
     const watch: SessionWatch = this.keepAliveMonitor.watch({
       isBusy: () => session.agent === undefined || dispatcher.isBusyWith?.(session.agent) !== false,
       sendKeepAlive: () => link.add(() => {}),
@@ -104,7 +113,7 @@
     try {
       for await (const frame of outbox) {
         frame.ackedSeq = session.ackedSeq
-        if (session.agent !== undefined) dispatcher.fillFrame?.(session.agent, frame)
+        if (session.agent !== undefined && !session.isClosed) dispatcher.fillFrame?.(session.agent, frame)
         observe.sent(frame)
         watch.onSent()
         yield frame
