A slow welcome does not count as a false alarm

Found by reading the change: a dial whose welcome took over 250 ms was suspected without consequence, and its welcome then counted as a suspicion that proved wrong, so that the new session could not be suspected for 5 s. Only a session that is open can be suspected now.

keepAliveMonitor.test.ts, 'a session that opened late is suspected like any other', tells them apart.

--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -78,9 +78,9 @@
     isBusy: () => peer.incarnation === '' || host.isBusyWith?.(peer.incarnation) !== false,
     sendKeepAlive: () => outbox.add(() => {}),
     sendProbe: () => outbox.add((frame) => { frame.probe = true }),
+    // Before the welcome, another connection would only be one more for the entry to welcome.
+    isReplaceable: () => peer.incarnation !== '' && !handle.retired.aborted,
     onSuspected: ({ silentMs, isBusy }) => {
-      // An entry that takes long to welcome agents would only get more connections to welcome.
-      if (peer.incarnation === '' || handle.retired.aborted) return
       log('session_suspected', { address, silent: Math.round(silentMs), busy: isBusy })
       handle.onSuspected(() => watch.isSuspected() || signal.aborted)
     },
--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -32,6 +32,8 @@
   sendKeepAlive: () => void
   /** Sends a frame that asks the other side for one at once. */
   sendProbe?: () => void
+  /** True while another session may be opened beside this one; never on the side that cannot dial. */
+  isReplaceable?: () => boolean
   /** Called once for each silence that reaches `suspectMs`, or if a probe is not answered, unless frames arrived after an earlier suspicion a moment ago. */
   onSuspected?: (silence: Silence) => void
   /** Called when no frame arrived within the timeout; called again at each check until the session is no longer watched. */
@@ -98,7 +100,7 @@
   }
 
   suspect (now: number, silence: Silence): void {
-    if (this.isSuspected || now < this.mayBeSuspectedFrom) return
+    if (this.isSuspected || now < this.mayBeSuspectedFrom || this.session.isReplaceable?.() !== true) return
     this.isSuspected = true
     this.session.onSuspected?.(silence)
   }
@@ -106,8 +108,8 @@
 
 /**
  * Sends keep-alive frames on the sessions of a process and reports those that are
- * silent: first as a suspicion, then as timed out. One timer serves all sessions: a timer for each would cost a process
- * with hundreds of sessions a wake-up for each.
+ * silent: first as suspected, then as timed out. One timer serves all sessions: a timer
+ * for each would cost a process with hundreds of sessions a wake-up for each.
  */
 export class KeepAliveMonitor {
   private readonly watched = new Set<WatchedSession>()
