A call of a peer without an answer replaces the connection to it

Change: a call that has no answer in time replaces the connection; calls in progress on the old one go on to their own ends, and it is closed after the last.

The roles on the delivery platform do not have this code.

--- a/packages/entry/src/peers/peerClients.ts
+++ b/packages/entry/src/peers/peerClients.ts
@@ -1,11 +1,11 @@
-import { createClient } from '@connectrpc/connect'
+import { Code, ConnectError } from '@connectrpc/connect'
 import type { Client, Interceptor } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
 import { errorMessage, fail, ok } from '@hazellift/common'
 import type { Result } from '@hazellift/common'
 import type { PeerCalls, PeerFault } from '@hazellift/coordination'
-import { CLUSTER_TOKEN_HEADER, PeerService } from '@hazellift/protocol'
-import type { EntryRecord, StatusResponse } from '@hazellift/protocol'
+import { CLUSTER_TOKEN_HEADER } from '@hazellift/protocol'
+import type { EntryRecord, PeerService, StatusResponse } from '@hazellift/protocol'
+import { PeerConnection } from './peerConnection.js'
 
 const CALL_TIMEOUT_MS = 1000
 
@@ -14,60 +14,68 @@
   return next(req)
 }
 
-/** Calls other entries over Connect, with one connection per peer. */
+/** True if a call had no answer in time. */
+const isTimeout = (err: unknown): boolean => err instanceof ConnectError && err.code === Code.DeadlineExceeded
+
+/**
+ * Calls other entries over Connect, with one connection per peer. A call without an
+ * answer in time replaces the connection: it may have gone silent, and every later
+ * call on it would time out, too.
+ */
 export class PeerClients implements PeerCalls {
-  private readonly clients = new Map<string, Client<typeof PeerService>>()
+  private readonly connections = new Map<string, PeerConnection>()
 
   constructor (private readonly clusterToken: string) {}
 
   await: PeerCalls['await'] = (address, query) =>
-    this.call(query.waitMs + CALL_TIMEOUT_MS, (timeoutMs) => this.client(address).await(query, { timeoutMs }))
+    this.call(address, query.waitMs + CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.await(query, { timeoutMs }))
 
   cancel: PeerCalls['cancel'] = (address, { workspace, submission, nonce, waitMs }) =>
-    this.call(waitMs + CALL_TIMEOUT_MS, (timeoutMs) =>
-      this.client(address).cancel({ workspace, submission, nonce }, { timeoutMs }))
+    this.call(address, waitMs + CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.cancel({ workspace, submission, nonce }, { timeoutMs }))
 
   /** Introduces this entry to a peer; returns the peer's incarnation, or undefined if it did not answer. */
   introduce = async (address: string, entry: EntryRecord): Promise<string | undefined> => {
-    const res = await this.call(CALL_TIMEOUT_MS, (timeoutMs) => this.client(address).introduce({ entry }, { timeoutMs }))
+    const res = await this.call(address, CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.introduce({ entry }, { timeoutMs }))
     return res.ok ? res.value.incarnation : undefined
   }
 
   /** Notifies a peer of a newer configuration; returns the version that is then in force there, or undefined if it did not answer. */
   configChanged = async (address: string, version: bigint): Promise<bigint | undefined> => {
-    const res = await this.call(CALL_TIMEOUT_MS, (timeoutMs) => this.client(address).configChanged({ version }, { timeoutMs }))
+    const res = await this.call(address, CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.configChanged({ version }, { timeoutMs }))
     return res.ok ? res.value.version : undefined
   }
 
   /** Asks a peer for its status; returns undefined if it did not answer. */
   status = async (address: string): Promise<StatusResponse | undefined> => {
-    const res = await this.call(CALL_TIMEOUT_MS, (timeoutMs) => this.client(address).status({}, { timeoutMs }))
+    const res = await this.call(address, CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.status({}, { timeoutMs }))
     return res.ok ? res.value : undefined
   }
 
-  /** Drops the clients of all addresses that are not in the set. */
+  /** Drops the connections to all addresses that are not in the set. */
   retainOnly (addresses: Set<string>): void {
-    for (const address of this.clients.keys()) if (!addresses.has(address)) this.clients.delete(address)
+    for (const [address, connection] of this.connections) if (!addresses.has(address)) this.drop(address, connection)
   }
 
-  private async call<T> (timeoutMs: number, callPeer: (timeoutMs: number) => Promise<T>): Promise<Result<T, PeerFault>> {
+  private async call<T> (address: string, timeoutMs: number, callPeer: (peer: Client<typeof PeerService>, timeoutMs: number) => Promise<T>): Promise<Result<T, PeerFault>> {
+    const connection = this.connectionTo(address)
     try {
-      return ok(await callPeer(timeoutMs))
+      return ok(await connection.call((peer) => callPeer(peer, timeoutMs)))
     } catch (err) {
+      if (isTimeout(err)) this.drop(address, connection)
       return fail({ type: 'unreachable', message: errorMessage(err) })
     }
   }
 
-  private client (address: string): Client<typeof PeerService> {
-    const known = this.clients.get(address)
+  private drop (address: string, connection: PeerConnection): void {
+    if (this.connections.get(address) === connection) this.connections.delete(address)
+    connection.retire()
+  }
+
+  private connectionTo (address: string): PeerConnection {
+    const known = this.connections.get(address)
     if (known !== undefined) return known
-    const transport = createConnectTransport({
-      baseUrl: `http://${address}`,
-      httpVersion: '2',
-      interceptors: [clusterTokenInterceptor(this.clusterToken)]
-    })
-    const client = createClient(PeerService, transport)
-    this.clients.set(address, client)
-    return client
+    const connection = new PeerConnection(address, [clusterTokenInterceptor(this.clusterToken)])
+    this.connections.set(address, connection)
+    return connection
   }
 }
