The build places the runtime while roles run on the one placed before

What was seen: a play could not be built in a checkout in which another one was running: ETXTBSY, copyfile to target/node.

Cause: the copy was written over the file that processes were running.

Change: it is copied beside, and takes the place of the earlier one. The test, 'is placed anew while roles run on the one placed before', failed before.

--- a/scripts/placeRuntime.js
+++ b/scripts/placeRuntime.js
@@ -1,7 +1,7 @@
 // Copies the Node.js binary that runs the roles next to their bundles, and checks
 // that it accepts the flags from the deploy file.
 import { execFileSync } from 'node:child_process'
-import { copyFileSync, mkdirSync, readFileSync } from 'node:fs'
+import { copyFileSync, mkdirSync, readFileSync, renameSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { join } from 'node:path'
 import { parse } from 'smol-toml'
@@ -53,7 +53,8 @@
 }
 
 /**
- * Copies the runtime into a directory as `node`, after checking the roles' flags.
+ * Copies the runtime into a directory as `node`, after checking the roles' flags. The
+ * copy takes the place of an earlier one, which may be running and cannot be overwritten.
  *
  * @param {string} directory - created if it is missing
  */
@@ -61,5 +62,8 @@
   const runtime = findRuntime()
   checkFlags(runtime, readRoleFlags(readFileSync(DEPLOY_FILE, 'utf8')))
   mkdirSync(directory, { recursive: true })
-  copyFileSync(runtime, join(directory, 'node'))
+  const target = join(directory, 'node')
+  const copy = `${target}.${process.pid}`
+  copyFileSync(runtime, copy)
+  renameSync(copy, target)
 }
--- a/tests/runtime.test.ts
+++ b/tests/runtime.test.ts
@@ -1,9 +1,14 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, readdirSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { describe, expect, it } from 'vitest'
 
 // The build places the Node.js binary that runs the roles. If it rejects a flag of a role
 // or its package is missing, the build must report it: otherwise processes never start.
 
-const { checkFlags, findRuntime, readRoleFlags } = await import(new URL('../scripts/placeRuntime.js', import.meta.url).href)
+const { checkFlags, findRuntime, placeRuntime, readRoleFlags } = await import(new URL('../scripts/placeRuntime.js', import.meta.url).href)
 
 describe('the runtime of the roles', () => {
   it.each([
@@ -26,6 +31,16 @@
     else expect(check).toThrow(expectedError)
   })
 
+  it('is placed anew while roles run on the one placed before', async () => {
+    const directory = mkdtempSync(join(tmpdir(), 'hazellift-runtime-'))
+    placeRuntime(directory)
+    const role = spawn(join(directory, 'node'), ['-e', 'setInterval(() => {}, 1000)'], { stdio: 'ignore' })
+    await once(role, 'spawn')
+    expect(() => placeRuntime(directory)).not.toThrow()
+    expect(readdirSync(directory)).toEqual(['node'])
+    role.kill()
+  })
+
   it('gets the flags of each role without its other arguments', () => {
     const file = '[roles.a]\nrun = "target/node --x=1 --y target/a.cjs a"\n[roles.b]\nrun = "target/node target/b.cjs"\n'
     expect(readRoleFlags(file)).toEqual([{ role: 'a', flags: ['--x=1', '--y'] }, { role: 'b', flags: [] }])
