A session is suspected as much later as its frames came lately

Cause: an entry under load is late with its frames; each such stall brought it a connection from each of its agents, to accept, greet and drop, when it had the least time for it. A pause of 5 s after a false alarm was not enough.

Change: what a session's frames were later than the silence that would have been suspicious is added to that silence, with a half-life of 5 s; so an entry that has been late is given as long again, and one that was in time is suspected as soon as before.

Tests: table of KeepAliveMonitor.

--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -67,11 +67,19 @@
 /** Time without a received frame after which a session is probed while that is expected, in ms: the interval of a busy session's frames. */
 const ALERT_SILENCE_MS = 150
 
+/** Half-life of how late the frames of a session were, in ms: overload lasts for seconds. */
+const LATENESS_HALF_LIFE_MS = 5000
+
 /** A session with what the monitor knows of it; times on the monitor's clock. */
 class WatchedSession {
   sentAt: number
   receivedAt: number
   isSuspected = false
+  /** Longest silence that was not suspicious since the last received frame, in ms. */
+  private allowedMs = 0
+  /** How much later than that frames have come lately, in ms, as of `lateAt`. */
+  private lateMs = 0
+  private lateAt = -Infinity
   /** When a probe was sent that no received frame has followed yet. */
   private probedAt: number | undefined
   private mayBeSuspectedFrom = -Infinity
@@ -82,6 +90,10 @@
   }
 
   onReceived (now: number): void {
+    // A frame within the interval that the other side keeps is not late, and the checks add one of theirs.
+    if (this.allowedMs > 0) this.lateMs = Math.max(this.latenessMs(now), now - this.receivedAt - this.allowedMs + CHECK_INTERVAL_MS)
+    this.lateAt = now
+    this.allowedMs = 0
     this.receivedAt = now
     if (this.isSuspected) this.mayBeSuspectedFrom = now + FALSE_ALARM_PAUSE_MS
     this.isSuspected = false
@@ -95,8 +107,19 @@
     this.session.sendProbe?.()
   }
 
-  isProbeUnanswered (now: number): boolean {
-    return this.probedAt !== undefined && now - this.probedAt >= PROBE_TIMEOUT_MS
+  /**
+   * True if the silence, or that after a probe, lasts longer than the other side needs even
+   * if it is as late as lately: for an entry under load another connection is one more burden.
+   */
+  isSuspicious (now: number, suspectMs: number): boolean {
+    this.allowedMs = Math.max(this.allowedMs, suspectMs)
+    const latenessMs = this.latenessMs(now)
+    const isProbeUnanswered = this.probedAt !== undefined && now - this.probedAt >= PROBE_TIMEOUT_MS + latenessMs
+    return isProbeUnanswered || now - this.receivedAt >= suspectMs + latenessMs
+  }
+
+  private latenessMs (now: number): number {
+    return this.lateMs > 0 ? this.lateMs * 0.5 ** ((now - this.lateAt) / LATENESS_HALF_LIFE_MS) : 0
   }
 
   suspect (now: number, silence: Silence): void {
@@ -179,7 +202,7 @@
     const { keepAliveMs, suspectMs = Infinity, timeoutMs } = isBusy ? this.options.busy : this.options.idle
     const silence = { silentMs: now - receivedAt, isBusy }
     if (silence.silentMs > timeoutMs) return session.onTimeout(silence)
-    if (!wasPaused && (silence.silentMs >= suspectMs || watched.isProbeUnanswered(now))) watched.suspect(now, silence)
+    if (watched.isSuspicious(now, suspectMs) && !wasPaused) watched.suspect(now, silence)
     if (now - sentAt >= keepAliveMs - CHECK_INTERVAL_MS / 2) session.sendKeepAlive()
   }
 }
