An entry under load is not suspected, unless a connection has just gone silent

Change: an entry says with each frame whether tasks wait there. While its last frame said so, its sessions are ended by their timeouts only, as before; within 3 s after a connection has proved to be silent they are suspected and probed as well.

Tests: two cases in the table of KeepAliveMonitor.

--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -143,6 +143,10 @@
     return this.tasks.tasksOf(incarnation).length > 0
   }
 
+  isLoaded (incarnation: string): boolean {
+    return this.sessions.open.get(incarnation)?.demandPriority !== undefined
+  }
+
   onFrame (incarnation: string, add: AddToFrame, frame: EntryFrame): void {
     const session = this.sessions.find(incarnation, add)
     if (session === undefined) return
--- a/packages/coordination/src/session/types.ts
+++ b/packages/coordination/src/session/types.ts
@@ -15,6 +15,8 @@
   fillFrame: (incarnation: string, frame: AgentFrame) => void
   /** True while the agent has tasks of the entry; unset where every session counts as busy. */
   isBusyWith?: (incarnation: string) => boolean
+  /** True if the entry said in its last frame that tasks wait there; unset where entries do not say. */
+  isLoaded?: (incarnation: string) => boolean
   /** Asks the entry to send no more starts on the session, which will be ended. */
   retireSession?: (incarnation: string, add: AddToFrame) => void
 }
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -80,6 +80,7 @@
     sendProbe: () => outbox.add((frame) => { frame.probe = true }),
     // Before the welcome, another connection would only be one more for the entry to welcome.
     isReplaceable: () => peer.incarnation !== '' && !handle.retired.aborted,
+    isPeerLoaded: () => host.isLoaded?.(peer.incarnation) === true,
     onSuspected: ({ silentMs, isBusy }) => {
       log('session_suspected', { address, silent: Math.round(silentMs), busy: isBusy })
       handle.onSuspected(() => watch.isSuspected() || signal.aborted)
--- a/packages/sessions/src/keepAliveMonitor.test.ts
+++ b/packages/sessions/src/keepAliveMonitor.test.ts
@@ -16,6 +16,8 @@
   paused?: [number, number]
   /** From when another session may be opened beside it; always if unset. */
   openFrom?: number
+  /** The other side has said that it is under load. */
+  isPeerLoaded?: boolean
   /** When the connection of another session has proved to be silent. */
   probedAt?: number
   keepAlivesAt: number[]
@@ -40,10 +42,12 @@
     { name: 'and after that as usual', lengthMs: 4000, receivedAt: [0, 225, ...Array.from({ length: 33 }, (_, index) => 300 + 100 * index)], probedAt: 220, keepAlivesAt: Array.from({ length: 13 }, (_, index) => 300 * (index + 1)), suspectedAt: [4000] },
     { name: 'a session that opened late is suspected like any other', lengthMs: 1000, openFrom: 390, busyFrom: 0, receivedAt: [0, 390], keepAlivesAt: [150, 300, 450, 600, 750], suspectedAt: [850], timedOutAt: 900 },
     { name: 'a session whose frames came late lately is suspected later', lengthMs: 950, busyFrom: 0, receivedAt: [0, 240, 480], keepAlivesAt: [150, 300, 450, 600, 750, 900], suspectedAt: [800] },
+    { name: 'a session of an entry under load is not suspected', lengthMs: 600, busyFrom: 0, isPeerLoaded: true, receivedAt: [0], keepAlivesAt: [150, 300, 450], timedOutAt: 550 },
+    { name: 'but it is after another connection went silent', lengthMs: 600, busyFrom: 0, isPeerLoaded: true, receivedAt: [0], probedAt: 120, keepAlivesAt: [150, 300, 450], suspectedAt: [170], timedOutAt: 520 },
     { name: 'a suspicion that proved wrong is not repeated for five seconds', lengthMs: 6080, receivedAt: [0, 620, 1500, 2400, 3300, 4200, 5100], keepAlivesAt: Array.from({ length: 20 }, (_, index) => 300 * (index + 1)), suspectedAt: [500, 6000] },
     { name: 'a session is not suspected right after a pause of this process, whose frames are still to be read', lengthMs: 500, busyFrom: 0, receivedAt: [0, 160], paused: [140, 380], keepAlivesAt: [390] }
   ]
-  it.each(cases)('$name', ({ lengthMs, sentAt = [], receivedAt, busyFrom = Infinity, paused: [pausedAt, resumedAt] = [Infinity, Infinity], openFrom = 0, probedAt, keepAlivesAt, suspectedAt = [], timedOutAt }) => {
+  it.each(cases)('$name', ({ lengthMs, sentAt = [], receivedAt, busyFrom = Infinity, paused: [pausedAt, resumedAt] = [Infinity, Infinity], openFrom = 0, isPeerLoaded = false, probedAt, keepAlivesAt, suspectedAt = [], timedOutAt }) => {
     const startedAt = Date.now()
     const passed = (): number => Date.now() - startedAt
     const keepAlives: number[] = []
@@ -57,6 +61,7 @@
         watch.onSent()
       },
       isReplaceable: () => passed() >= openFrom,
+      isPeerLoaded: () => isPeerLoaded,
       onSuspected: () => { suspected.push(passed()) },
       onTimeout: () => { timedOut ??= passed() }
     })
--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -34,6 +34,8 @@
   sendProbe?: () => void
   /** True while another session may be opened beside this one; never on the side that cannot dial. */
   isReplaceable?: () => boolean
+  /** True if the other side has said that it is under load, so that its frames may well be late. */
+  isPeerLoaded?: () => boolean
   /** Called once for each silence that reaches `suspectMs`, or if a probe is not answered, unless frames arrived after an earlier suspicion a moment ago. */
   onSuspected?: (silence: Silence) => void
   /** Called when no frame arrived within the timeout; called again at each check until the session is no longer watched. */
@@ -202,7 +204,9 @@
     const { keepAliveMs, suspectMs = Infinity, timeoutMs } = isBusy ? this.options.busy : this.options.idle
     const silence = { silentMs: now - receivedAt, isBusy }
     if (silence.silentMs > timeoutMs) return session.onTimeout(silence)
-    if (watched.isSuspicious(now, suspectMs) && !wasPaused) watched.suspect(now, silence)
+    // Many connections more are a burden to an entry under load, unless connections are known to go silent.
+    const mayBeLate = wasPaused || (session.isPeerLoaded?.() === true && now >= this.alertUntil)
+    if (watched.isSuspicious(now, suspectMs) && !mayBeLate) watched.suspect(now, silence)
     if (now - sentAt >= keepAliveMs - CHECK_INTERVAL_MS / 2) session.sendKeepAlive()
   }
 }
