Lateness of a session fades while frames come in time

Found by reading the change: a frame that came before the next check moved the time from which the lateness is halved without halving it, so that on a session with many frames the lateness of one stall stayed.

keepAliveMonitor.test.ts, 'lateness fades while frames come in time, however often', failed before.

--- a/packages/sessions/src/keepAliveMonitor.test.ts
+++ b/packages/sessions/src/keepAliveMonitor.test.ts
@@ -44,6 +44,7 @@
     { name: 'a session whose frames came late lately is suspected later', lengthMs: 950, busyFrom: 0, receivedAt: [0, 240, 480], keepAlivesAt: [150, 300, 450, 600, 750, 900], suspectedAt: [800] },
     { name: 'a session of an entry under load is not suspected', lengthMs: 600, busyFrom: 0, isPeerLoaded: true, receivedAt: [0], keepAlivesAt: [150, 300, 450], timedOutAt: 550 },
     { name: 'but it is after another connection went silent', lengthMs: 600, busyFrom: 0, isPeerLoaded: true, receivedAt: [0], probedAt: 120, keepAlivesAt: [150, 300, 450], suspectedAt: [170], timedOutAt: 520 },
+    { name: 'lateness fades while frames come in time, however often', lengthMs: 21_100, receivedAt: [0, 900, ...Array.from({ length: 978 }, (_, index) => 920 + 20 * index)], keepAlivesAt: Array.from({ length: 70 }, (_, index) => 300 * (index + 1)), suspectedAt: [500, 21_000] },
     { name: 'a suspicion that proved wrong is not repeated for five seconds', lengthMs: 6080, receivedAt: [0, 620, 1500, 2400, 3300, 4200, 5100], keepAlivesAt: Array.from({ length: 20 }, (_, index) => 300 * (index + 1)), suspectedAt: [500, 6000] },
     { name: 'a session is not suspected right after a pause of this process, whose frames are still to be read', lengthMs: 500, busyFrom: 0, receivedAt: [0, 160], paused: [140, 380], keepAlivesAt: [390] }
   ]
--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -92,8 +92,9 @@
   }
 
   onReceived (now: number): void {
-    // A frame within the interval that the other side keeps is not late, and the checks add one of theirs.
-    if (this.allowedMs > 0) this.lateMs = Math.max(this.latenessMs(now), now - this.receivedAt - this.allowedMs + CHECK_INTERVAL_MS)
+    // The other side's interval is a check shorter than the silence that is allowed.
+    const lateMs = this.allowedMs > 0 ? now - this.receivedAt - this.allowedMs + CHECK_INTERVAL_MS : 0
+    this.lateMs = Math.max(this.latenessMs(now), lateMs)
     this.lateAt = now
     this.allowedMs = 0
     this.receivedAt = now
