After a silence a check follows only a probe that was sent

What was seen, by reading the change once more: for 3 s after a connection had gone silent, each check of an agent's sessions scheduled another one while any session was quiet, whether or not a probe was sent. The timers added up, one more chain every 50 ms: some 60 chains at the end of the 3 s.

Cause: the check was tied to the round of probes, not to a probe; a session that has an unanswered probe or is suspected gets none.

Change: the extra check is scheduled only if a probe was sent.

--- a/packages/sessions/src/keepAliveMonitor.ts
+++ b/packages/sessions/src/keepAliveMonitor.ts
@@ -103,11 +103,12 @@
     this.probedAt = undefined
   }
 
-  /** Sends a probe, unless there is no answer yet to an earlier one. */
-  probe (now: number): void {
-    if (this.isSuspected || this.probedAt !== undefined) return
+  /** Sends a probe, unless there is no answer yet to an earlier one; returns true if it did. */
+  probe (now: number): boolean {
+    if (this.isSuspected || this.probedAt !== undefined) return false
     this.probedAt = now
     this.session.sendProbe?.()
+    return true
   }
 
   /**
@@ -173,9 +174,8 @@
   }
 
   private probe (now: number, sessions: WatchedSession[]): void {
-    if (sessions.length === 0) return
-    for (const watched of sessions) watched.probe(now)
-    setTimeout(() => this.check(), PROBE_TIMEOUT_MS)
+    const probed = sessions.filter((watched) => watched.probe(now))
+    if (probed.length > 0) setTimeout(() => this.check(), PROBE_TIMEOUT_MS)
   }
 
   private stop (watched: WatchedSession): void {
