No signal of a call or session depends on one that lives on

What would have been seen: on Node.js 20, which package.json allows, a process grows with every read of the store and every dial, without an end.

Cause: since each GET made a signal with AbortSignal.any from its own timeout and from the signal of the connections' generation, and since each session one from the signal of its entry. Node.js 20 keeps a reference in the long-lived signal for each one that depends on it, and never removes it.

Why it works: the pool holds a controller for each attempt that is to be sent again, and removes it with the attempt; a session removes its listener when it ends. The chain of promises from one replaced session to the next is gone, too: sessions are counted.

--- a/packages/sessions/src/keepSession.test.ts
+++ b/packages/sessions/src/keepSession.test.ts
@@ -1,3 +1,4 @@
+import { getEventListeners } from 'node:events'
 import { describe, expect, it } from 'vitest'
 import type { DialHandle } from './entryDialer.js'
 import { keepSession } from './keepSession.js'
@@ -108,4 +109,16 @@
     }
     expect({ log: fixture.log, sessions: fixture.sessions.length, hasEnded: fixture.hasEnded }).toEqual({ log, sessions, hasEnded })
   })
+
+  it('leaves nothing behind on the signal of its entry', async () => {
+    const fixture = new Fixture()
+    fixture.welcome(0)
+    for (let index = 0; index < 3; index++) {
+      fixture.suspect(index)
+      fixture.welcome(index + 1)
+      await flushTasks()
+    }
+    expect(fixture.sessions.length).toBe(4)
+    expect(getEventListeners(fixture.stop.signal, 'abort').length).toBe(1)
+  })
 })
--- a/packages/sessions/src/keepSession.ts
+++ b/packages/sessions/src/keepSession.ts
@@ -20,13 +20,21 @@
  * @param kept - ends the sessions, and is notified of their events
  * @returns resolves once the session and all that replaced it have ended
  */
-export const keepSession = (dial: (handle: DialHandle) => Promise<void>, { signal, retired, onEntries, onOpen, onClosed, onReplaced }: KeptSession): Promise<void> => {
+export const keepSession = (dial: (handle: DialHandle) => Promise<void>, kept: KeptSession): Promise<void> => new Promise((resolve) => {
+  const { signal, retired, onEntries, onOpen, onClosed, onReplaced } = kept
+  let running = 0
+
   const run = async (isNeeded: () => boolean, replacePrevious: () => void): Promise<void> => {
-    const replaced = new AbortController()
+    // Not `AbortSignal.any`: Node.js 20 keeps a reference for each signal that depends on one that lives on.
+    const ending = new AbortController()
+    const end = (): void => ending.abort()
+    signal.addEventListener('abort', end)
+    if (signal.aborted) end()
     let isOpen = false
-    let replacement: Promise<void> | undefined
+    let isBeingReplaced = false
+    running++
     await dial({
-      signal: AbortSignal.any([signal, replaced.signal]),
+      signal: ending.signal,
       retired,
       onEntries,
       isNeeded,
@@ -36,15 +44,19 @@
         replacePrevious()
       },
       onSuspected: (isSilent) => {
+        if (isBeingReplaced) return
+        isBeingReplaced = true
         const replace = (): void => {
-          replaced.abort()
+          end()
           onReplaced()
         }
-        replacement ??= run(isSilent, replace).finally(() => { replacement = undefined })
+        void run(isSilent, replace).finally(() => { isBeingReplaced = false })
       }
     })
+    signal.removeEventListener('abort', end)
     if (isOpen) onClosed()
-    await replacement
+    if (--running === 0) resolve()
   }
-  return run(() => true, () => {})
-}
+
+  void run(() => true, () => {})
+})
--- a/packages/store/src/renewedPool.ts
+++ b/packages/store/src/renewedPool.ts
@@ -12,8 +12,8 @@
 /** Connections that were opened since the last renewal. */
 interface Generation {
   pool: Pool
-  /** Aborts once the connections are replaced. */
-  replaced: AbortController
+  /** Each ends one attempt that is sent again once the connections are replaced. */
+  repeatable: Set<AbortController>
 }
 
 /**
@@ -44,27 +44,31 @@
   async request (req: PooledRequest, timeoutMs: number): Promise<PooledResponse> {
     while (true) {
       const timeout = AbortSignal.timeout(timeoutMs)
+      const replaced = new AbortController()
       const generation = this.current
-      const replaced = req.method === 'GET' ? [generation.replaced.signal] : []
+      if (req.method === 'GET') generation.repeatable.add(replaced)
       try {
-        const res = await generation.pool.request({ ...req, signal: AbortSignal.any([timeout, ...replaced]) })
+        // Both end with the attempt: Node.js 20 keeps a reference for each signal that depends on one that lives on.
+        const res = await generation.pool.request({ ...req, signal: AbortSignal.any([timeout, replaced.signal]) })
         return { status: res.statusCode, body: await res.body.bytes() }
       } catch (err) {
         if (timeout.aborted) this.replace(generation)
-        else if (replaced.some(({ aborted }) => aborted)) continue
+        else if (replaced.signal.aborted) continue
         throw err
+      } finally {
+        generation.repeatable.delete(replaced)
       }
     }
   }
 
   private open (): Generation {
-    return { pool: new Pool(this.url, this.options), replaced: new AbortController() }
+    return { pool: new Pool(this.url, this.options), repeatable: new Set() }
   }
 
   private replace (generation: Generation): void {
     if (generation !== this.current) return
     this.current = this.open()
-    generation.replaced.abort()
+    for (const replaced of generation.repeatable) replaced.abort()
     // Resolves once the calls that wait on have ended.
     void generation.pool.close()
   }
