--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -11,6 +11,8 @@
 const MEMORY_MB = 3000
 const MAX_DEPTH = 1_000_000
 const TIME_LIMIT_MS = 300_000
+/** Of each of the two steps by which packages are installed; a registry may stall. */
+const INSTALL_TIME_LIMIT_MS = 300_000
 
 const define = (budget) => Object.entries(budget).map(([name, value]) => value === true ? `-D${name}` : `-D${name}=${value}`)
 
@@ -156,8 +158,8 @@
 
 const installSpin = () => {
   console.log('installing spin and gcc')
-  execFileSync('apt-get', ['update', '-q'], { stdio: 'ignore' })
-  execFileSync('apt-get', ['install', '-y', '-q', 'spin', 'gcc', 'libc6-dev'], { stdio: 'inherit' })
+  execFileSync('apt-get', ['update', '-q'], { stdio: 'ignore', timeout: INSTALL_TIME_LIMIT_MS })
+  execFileSync('apt-get', ['install', '-y', '-q', 'spin', 'gcc', 'libc6-dev'], { stdio: 'inherit', timeout: INSTALL_TIME_LIMIT_MS })
 }
 
 /** Explores all states of a model; returns their number and the number of assertions that failed. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,5 +1,7 @@
 import { existsSync, readFileSync } from 'node:fs'
+import { relative } from 'node:path'
 import { defineConfig } from 'vitest/config'
+import type { TestModule } from 'vitest/node'
 
 const KNOWN_RED = new URL('KNOWN-RED.txt', import.meta.url)
 const MAX_KNOWN_RED = 3
@@ -17,11 +19,17 @@
 
 const knownRed = readKnownRed()
 
+/** Prints each test file that begins, as one that never ends is not reported otherwise. */
+const startReporter = {
+  onTestModuleStart: ({ moduleId }: TestModule) => console.log(` … ${relative(import.meta.dirname, moduleId)}`)
+}
+
 export default defineConfig({
   test: {
     include: ['packages/*/src/**/*.test.ts', 'packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts', 'tests/**/*.test.ts'],
     // A test that is selected with -t runs even if it is listed.
     ...(knownRed.length > 0 && { testNamePattern: new RegExp(`^(?!(?:${knownRed.map(escapePattern).join('|')})$)`) }),
+    reporters: ['default', startReporter],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     // Each failure test starts several processes; more files at once would leave them too little CPU time on a small machine.
