--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -8,7 +8,7 @@
 import type { AgentFrame, EntryFrame, SessionService } from '@hazellift/protocol'
 import type { EntryLocation } from '@hazellift/decisions'
 import { KeepAliveMonitor } from './keepAliveMonitor.js'
-import type { KeepAliveOptions, SessionWatch, Silence } from './keepAliveMonitor.js'
+import type { KeepAliveOptions, SessionWatch, Silence } from './types.js'
 
 /** Dependencies of the sessions of an entry. */
 export interface SessionOptions<Agent> {
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -8,8 +8,9 @@
 import { AgentFrameSchema, CLUSTER_TOKEN_HEADER, HelloSchema, SessionService } from '@hazellift/protocol'
 import type { AgentFrame } from '@hazellift/protocol'
 import type { DialHandle } from './entryDialer.js'
-import type { KeepAliveMonitor, SessionWatch, Silence } from './keepAliveMonitor.js'
+import type { KeepAliveMonitor } from './keepAliveMonitor.js'
 import { openConnection } from './openConnection.js'
+import type { SessionWatch, Silence } from './types.js'
 
 /** Dependencies of the sessions of an agent. */
 export interface DialOptions {
