A read of a slow store is sent again at most once

Cause: since each call to the store that timed out replaced the connections, and each read that waited for its answer was aborted and sent again, with a new time limit, as often as that happened. While a store is slow, calls time out in series; a read that takes longer than the time between two of them was never answered, nor did it ever fail, and the store got each read many times over. The class: a retry without a bound, on a signal that overload gives as well.

Evidence: the test (one call lost every 100 ms, a read that takes 300 ms, 2 s allowed) got no answer before, now one after two attempts.

Why it works: a call has two attempts at most, each with its own limit. The tests of connections that go silent hold: the first call tells of the others, and what waits is sent again on new ones.

--- a/packages/store/src/renewedPool.ts
+++ b/packages/store/src/renewedPool.ts
@@ -12,7 +12,7 @@
 /** Connections that were opened since the last renewal. */
 interface Generation {
   pool: Pool
-  /** Each ends one attempt that is sent again once the connections are replaced. */
+  /** Each ends one attempt that is sent again when the connections are replaced. */
   repeatable: Set<AbortController>
 }
 
@@ -35,29 +35,39 @@
   /**
    * Sends a request. A GET that waits for its answer when the connections are replaced
    * is sent again on a new one, with a new time limit, as it changes nothing; others
-   * wait on, as they may have been carried out.
+   * wait on, as they may have been carried out. It is sent again only once: if the peer
+   * is slow, calls time out again and again, and no read would ever be answered.
    *
    * @param req - the request
    * @param timeoutMs - time limit of each attempt, in ms
    * @returns the response; rejects if there is none in time
    */
   async request (req: PooledRequest, timeoutMs: number): Promise<PooledResponse> {
-    while (true) {
-      const timeout = AbortSignal.timeout(timeoutMs)
-      const replaced = new AbortController()
-      const generation = this.current
-      if (req.method === 'GET') generation.repeatable.add(replaced)
-      try {
-        // Both end with the attempt: Node.js 20 keeps a reference for each signal that depends on one that lives on.
-        const res = await generation.pool.request({ ...req, signal: AbortSignal.any([timeout, replaced.signal]) })
-        return { status: res.statusCode, body: await res.body.bytes() }
-      } catch (err) {
-        if (timeout.aborted) this.replace(generation)
-        else if (replaced.signal.aborted) continue
-        throw err
-      } finally {
-        generation.repeatable.delete(replaced)
-      }
+    if (req.method !== 'GET') return this.send(req, timeoutMs)
+    const replaced = new AbortController()
+    const { repeatable } = this.current
+    repeatable.add(replaced)
+    try {
+      return await this.send(req, timeoutMs, replaced.signal)
+    } catch (err) {
+      if (err !== replaced.signal.reason) throw err
+    } finally {
+      repeatable.delete(replaced)
+    }
+    return this.send(req, timeoutMs)
+  }
+
+  private async send (req: PooledRequest, timeoutMs: number, replaced?: AbortSignal): Promise<PooledResponse> {
+    const timeout = AbortSignal.timeout(timeoutMs)
+    const generation = this.current
+    try {
+      // Both end with the attempt: Node.js 20 keeps a reference for each signal that depends on one that lives on.
+      const signal = replaced === undefined ? timeout : AbortSignal.any([timeout, replaced])
+      const res = await generation.pool.request({ ...req, signal })
+      return { status: res.statusCode, body: await res.body.bytes() }
+    } catch (err) {
+      if (timeout.aborted) this.replace(generation)
+      throw err
     }
   }
 
