An entry does not accept a hello older than the agent's last frame

Cause, by reading, not shown by a play: a session that is suspected is replaced, and the session in its place may be, too. On a lossy link the hello of the one between arrives after that of the last one. The entry took whichever came later for the present session, and by its list of what the agent has, tasks started since then counted as lost starts, which start again elsewhere under the same number.

Change: a hello whose timestamp is older than the last frame of the same agent process opens no session. The agent's clock orders them, however they arrive.

--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -107,6 +107,11 @@
     this.config.sweep(now)
   }
 
+  isOutdated ({ agentId, incarnation }: Hello, stampMs: number): boolean {
+    const known = this.options.fleet.agents.get(agentId)
+    return known?.incarnation === incarnation && stampMs < known.stampMs
+  }
+
   open (hello: Hello, link: AgentLink): LeasedAgent {
     const { fleet, clock, events } = this.options
     const known = fleet.agents.get(hello.agentId)
--- a/packages/sessions/src/createSessions.test.ts
+++ b/packages/sessions/src/createSessions.test.ts
@@ -50,3 +50,35 @@
     await frames.return?.()
   })
 })
+
+describe('the hello of an agent that has replaced the session meanwhile', () => {
+  const cases = [
+    { name: 'opens no session, as a lossy link delayed it', isOutdated: true, opened: 0 },
+    { name: 'opens one otherwise', isOutdated: false, opened: 1 }
+  ]
+  it.each(cases)('$name', async ({ isOutdated, opened }) => {
+    let count = 0
+    const { service, closeAll } = createSessions({
+      dispatcher: {
+        isOutdated: () => isOutdated,
+        open: (hello: Hello) => {
+          count++
+          return hello
+        },
+        closed: () => {},
+        onFrame: () => {}
+      },
+      observe: { read: () => {}, sent: () => {} },
+      entryId: 'e',
+      incarnation: 'e-1',
+      keepAlive: { busy: TIMES, idle: TIMES },
+      entries: () => []
+    })
+    const context = { signal: new AbortController().signal } as HandlerContext
+    const frames = (service.open(introduce(), context) as AsyncIterable<EntryFrame>)[Symbol.asyncIterator]()
+    await frames.next()
+    expect(count).toBe(opened)
+    closeAll()
+    await frames.return?.()
+  })
+})
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -143,7 +143,11 @@
       for await (const frame of frames) {
         onReceived()
         observe.read(frame)
-        if (frame.hello !== undefined) session.agent = dispatcher.open(frame.hello, session.link)
+        if (frame.hello !== undefined) {
+          // The hello was delayed, and what it says the agent has is from before the present session.
+          if (dispatcher.isOutdated?.(frame.hello, frame.stampMs) === true) return
+          session.agent = dispatcher.open(frame.hello, session.link)
+        }
         if (frame.probe) session.link.add(() => {})
         if (session.agent !== undefined) dispatcher.onFrame(session.agent, session.link, frame)
       }
