--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -130,6 +130,12 @@
     return this.inFlight.removeJob(job, this.knownAgents)
   }
 
+  /** True if frames that the agent sent after this hello have arrived on another session. */
+  isOutdated ({ agentId, incarnation }: Hello, stampMs: number): boolean {
+    const known = this.agents.get(agentId)
+    return known?.incarnation === incarnation && stampMs < known.stampMs
+  }
+
   /** Handles a new session of an agent; an earlier session with it is closed. */
   open (hello: Hello, link: AgentLink): AgentHandle {
     const known = this.agents.get(hello.agentId)
--- a/packages/coordination/src/session/types.ts
+++ b/packages/coordination/src/session/types.ts
@@ -35,11 +35,11 @@
 export interface SessionDispatcher<Agent> {
   /**
    * True if the agent sent this hello before frames that have arrived on another
-   * session, that is if its session has been replaced already. Unset where none is.
+   * session, that is if its session has been replaced already.
    *
    * @param stampMs - timestamp of the frame, on the agent's clock
    */
-  isOutdated?: (hello: Hello, stampMs: number) => boolean
+  isOutdated: (hello: Hello, stampMs: number) => boolean
   /** An agent opened a session; an earlier one with the same agent counts as ended. */
   open: (hello: Hello, link: AgentLink) => Agent
   /** Handles a frame that an agent sent. */
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -15,7 +15,7 @@
   /** Handles what agents send. */
   dispatcher: SessionDispatcher<Agent>
   /** Called with every frame received and every frame sent, and when a session timed out, for metrics. */
-  observe: { read: (frame: AgentFrame) => void, sent: (frame: EntryFrame) => void, timedOut?: (silence: Silence) => void }
+  observe: { read: (frame: AgentFrame) => void, sent: (frame: EntryFrame) => void, timedOut?: (silence: Silence) => void, outdated?: () => void }
   entryId: string
   incarnation: string
   /** Keep-alive intervals and timeouts. */
@@ -145,7 +145,10 @@
         observe.read(frame)
         if (frame.hello !== undefined) {
           // The hello was delayed, and what it says the agent has is from before the present session.
-          if (dispatcher.isOutdated?.(frame.hello, frame.stampMs) === true) return
+          if (dispatcher.isOutdated(frame.hello, frame.stampMs)) {
+            log('hello_outdated', { agent: frame.hello.agentId })
+            return observe.outdated?.()
+          }
           session.agent = dispatcher.open(frame.hello, session.link)
         }
         if (frame.probe) session.link.add(() => {})
