Lines and counters that tell who owned a run, and who knew of its end

The lines of one job did not show whether a task that ran twice had one owner or two: an entry wrote tasks_sent, the agent only the end. Cost: one line more for each run at its agent.

--- a/packages/coordination/src/leased/configExchange.test.ts
+++ b/packages/coordination/src/leased/configExchange.test.ts
@@ -43,7 +43,7 @@
       clock,
       times: TIMES,
       fleet,
-      events: { agentChanged: () => {}, agentLost: () => {}, configSeen: (version) => this.newer.push(version), evacuationsChanged: () => {} },
+      events: { agentChanged: () => {}, agentLost: () => {}, resumed: () => {}, configSeen: (version) => this.newer.push(version), evacuationsChanged: () => {} },
       onResult: () => {},
       onNotStarted: () => {},
       onLost: () => {},
--- a/packages/coordination/src/leased/endpointOrders.ts
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -78,7 +78,9 @@
       if (unanswered > 0) return this.resolveUnknown(run)
       if (outcome.type === 'refused') return this.onNotStarted(run, outcome.reason)
       if (++usedNumbers === MAX_NUMBER_TRIES || !this.mayRepeat(run)) return this.onNotStarted(run, REASONS.endpointBusy)
+      const used = run.run
       run.run = this.runNumbers.next(taskNameOf(run), usedNumbers)
+      this.options.log('run_number_used', { job: run.submission, task: run.index, used, run: run.run })
     }
   }
 
--- a/packages/coordination/src/leased/hostTasks.ts
+++ b/packages/coordination/src/leased/hostTasks.ts
@@ -18,6 +18,8 @@
   clock: Pick<Clock, 'now'>
   /** A task has succeeded. */
   onDone: (runMs: number, expectedMs: number) => void
+  /** The endpoint was ordered to begin a run. */
+  onBegun: (task: OwnedTask, run: number) => void
   /** Reports the result of a start to its entry, however it ended. */
   report: (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs: number) => void
 }
@@ -59,9 +61,15 @@
     for (let start = this.waiting.takeFirst(supervisor.freeCapacity); start !== undefined; start = this.waiting.takeFirst(supervisor.freeCapacity)) this.start(supervisor, start)
   }
 
-  /** Rejects matching starts that wait, with nothing run. */
-  refuse (matches: (start: WaitingStart) => boolean, reason: Reason): void {
-    for (const { owner, key } of this.waiting.removeMatching(matches)) this.options.report(owner, key, TASK_OUTCOMES.notStarted, reason, 0)
+  /**
+   * Rejects matching starts that wait, with nothing run.
+   *
+   * @returns number of starts rejected
+   */
+  refuse (matches: (start: WaitingStart) => boolean, reason: Reason): number {
+    const refused = this.waiting.removeMatching(matches)
+    for (const { owner, key } of refused) this.options.report(owner, key, TASK_OUTCOMES.notStarted, reason, 0)
+    return refused.length
   }
 
   /**
@@ -71,19 +79,22 @@
    * @param matches - chooses the tasks
    * @param reason - reported to their entries
    * @param onStop - called for each task that is stopped by this call
+   * @returns number of tasks that are stopped by this call
    */
-  stop (supervisor: EndpointSupervisor | undefined, matches: (task: OwnedTask) => boolean, reason: Reason, onStop: (task: OwnedTask) => void = () => {}): void {
-    for (const task of this.running.filter(matches)) {
-      if (task.run.stopReason !== undefined) continue
+  stop (supervisor: EndpointSupervisor | undefined, matches: (task: OwnedTask) => boolean, reason: Reason, onStop: (task: OwnedTask) => void = () => {}): number {
+    const stopped = this.running.filter((task) => matches(task) && task.run.stopReason === undefined)
+    for (const task of stopped) {
       onStop(task)
       supervisor?.stop(task.run, reason)
     }
+    return stopped.length
   }
 
   private start (supervisor: EndpointSupervisor, { owner, key, payload, need, expectedMs }: WaitingStart): void {
     const run = supervisor.start(key.submission, key.task, payload, need, (outcome) => this.onTerminated(running, outcome))
     const running = { owner, key, run, expectedMs }
     this.running.push(running)
+    this.options.onBegun(running, run.run)
   }
 
   private onTerminated (running: RunningTask, attempt: AttemptOutcome): void {
--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -220,11 +220,13 @@
       job.tasks[index]!.isMoving = true
       this.options.events.moved(job, index, agent.agentId, now - sentAt)
       this.fleet.healthOf(agent)?.failed(agent.agentId)
-      this.revoke(agent, job, [index])
+      this.revoke(agent, job, [index], REASONS.moved)
     }
   }
 
-  private revoke (agent: LeasedAgent, { workspace, id }: LeasedJob, tasks: number[]): void {
+  private revoke (agent: LeasedAgent, job: LeasedJob, tasks: number[], reason: Reason): void {
+    const { workspace, id } = job
+    this.options.events.revoked(job, agent, tasks, reason)
     agent.link?.add((frame) => {
       frame.revokes.push(create(RevokeSchema, { workspace, submission: id, tasks }))
     })
@@ -236,15 +238,15 @@
     job.end = end
     job.queue = []
     this.fleet.services.get(job.service)?.queue.remove(job)
-    if (end.type === 'failed') this.revokeAll(job)
+    if (end.type === 'failed') this.revokeAll(job, end.reason)
     this.options.events.ended(job, end)
     job.onEnd(end)
     this.forgetIfTerminated(job)
   }
 
-  private revokeAll (job: LeasedJob): void {
+  private revokeAll (job: LeasedJob, reason: Reason): void {
     for (const agent of this.fleet.agents.values()) {
-      if ([...agent.sent.values()].some((sent) => sent.job === job)) this.revoke(agent, job, [])
+      if ([...agent.sent.values()].some((sent) => sent.job === job)) this.revoke(agent, job, [], reason)
     }
   }
 
--- a/packages/coordination/src/leased/leasedDispatcherOptions.ts
+++ b/packages/coordination/src/leased/leasedDispatcherOptions.ts
@@ -1,6 +1,7 @@
 import type { SuspensionWatch } from '@hazellift/common'
 import type { Resources } from '@hazellift/decisions'
 import type { Reason, TaskResult } from '@hazellift/protocol'
+import type { LeasedAgent } from './leasedAgent.js'
 import type { LeasedFleetOptions } from './leasedFleet.js'
 import type { LeasedJob, LeasedJobEnd } from './leasedJob.js'
 import type { LeasedSessionEvents } from './leasedSessions.js'
@@ -13,6 +14,8 @@
   ended: (job: LeasedJob, end: LeasedJobEnd) => void
   /** Starts of tasks were sent to an agent; `freeCapacity` is what then remains there. */
   sent: (job: LeasedJob, agentId: string, tasks: number[], freeCapacity: Resources) => void
+  /** An agent is asked to end runs of a job; no tasks stand for all of them. Without a session the request is not sent. */
+  revoked: (job: LeasedJob, agent: LeasedAgent, tasks: number[], reason: Reason) => void
   /** A straggler that has run for `runMs` is being stopped, to run elsewhere. */
   moved: (job: LeasedJob, index: number, agentId: string, runMs: number) => void
   /** A task that was sent waits again. */
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -60,6 +60,8 @@
     this.tasks = new HostTasks({
       clock: options.clock,
       onDone: (runMs, expectedMs) => this.speed.observe(runMs, expectedMs),
+      onBegun: ({ owner, key }, run) =>
+        options.log('run_begun', { job: key.submission, task: key.task, attempt: key.attempt, run, entry: owner }),
       report: (...end) => this.report(...end)
     })
     this.evacuations = new HostEvacuations({ zone: options.zone, onChange: () => this.onEvacuation() })
@@ -122,7 +124,9 @@
 
   openSession (incarnation: string, add: AddToFrame): void {
     this.entryLeases.onSessionChange(incarnation)
-    this.sessions.begin(incarnation, add, this.tasks.tasksOf(incarnation).map(({ key }) => key), this.isLeaving)
+    const keys = this.tasks.tasksOf(incarnation).map(({ key }) => key)
+    this.options.log('resume_sent', { entry: incarnation, tasks: keys.length })
+    this.sessions.begin(incarnation, add, keys, this.isLeaving)
     this.sessions.reportEndpoint(this.endpoint.state, this.isLeaving, [incarnation])
   }
 
@@ -256,8 +260,9 @@
   private onRevoke (incarnation: string, { submission, tasks }: Revoke): void {
     const matches = ({ owner, key }: OwnedTask): boolean =>
       owner === incarnation && key.submission === submission && (tasks.length === 0 || tasks.includes(key.task))
-    this.tasks.refuse(matches, REASONS.revoked)
-    this.tasks.stop(this.endpoint.supervisor, matches, REASONS.revoked)
+    const refused = this.tasks.refuse(matches, REASONS.revoked)
+    const stopped = this.tasks.stop(this.endpoint.supervisor, matches, REASONS.revoked)
+    this.options.log('revoke_received', { job: submission, tasks: tasks.join(','), entry: incarnation, refused, stopped })
   }
 
   private report (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs = 0): void {
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -1,7 +1,7 @@
 import { SuspensionWatch } from '@hazellift/common'
 import type { Clock } from '@hazellift/common'
 import { REASONS } from '@hazellift/protocol'
-import type { AgentFrame, EndpointState, EntryFrame, Evacuations, Hello, Reason, TaskResult } from '@hazellift/protocol'
+import type { AgentFrame, EndpointState, EntryFrame, Evacuations, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { taskKey } from '../tasks/keys.js'
 import { ConfigExchange } from './configExchange.js'
@@ -13,10 +13,22 @@
 import { terminationBoundMs } from './times.js'
 import type { LeaseTimes } from './times.js'
 
+/** What an entry concluded from the tasks that an agent listed on a new session. */
+export interface ResumeSummary {
+  /** Number of tasks that the agent listed: runs, waiting starts and results that are not acknowledged. */
+  listed: number
+  /** Number of starts that were sent there and are not listed: they were never accepted. */
+  lostStarts: number
+  /** Listed tasks that run or wait at the agent though this entry does not want them to. */
+  unwanted: TaskKey[]
+}
+
 /** Events of an entry's sessions with agents, for logs and metrics. */
 export interface LeasedSessionEvents {
   /** What the entry knows of an agent has changed. */
   agentChanged: (agent: LeasedAgent, change: 'session_open' | 'session_closed' | 'endpoint' | 'capacity' | 'leaving') => void
+  /** An agent has listed, on a new session, what it has of this entry. */
+  resumed: (agent: LeasedAgent, summary: ResumeSummary) => void
   /** An agent with tasks of this entry was silent for so long that their runs are confirmed terminated. */
   agentLost: (agentId: string, silentMs: number, tasks: number) => void
   /** An agent sent a newer configuration document than this entry's. */
@@ -46,6 +58,10 @@
 /** Shortest time between frames that only echo a timestamp; echoes are at most this and a keep-alive interval apart. */
 const ECHO_INTERVAL_MS = 140
 
+/** True while a run that was sent shall go on: its job is open, and the task is not being moved. */
+const isWanted = (sent: SentRun | undefined): boolean =>
+  sent !== undefined && sent.job.end === undefined && !sent.job.tasks[sent.index]!.isMoving
+
 /**
  * An entry's side of its sessions with agents: handles their frames, fills the frames
  * to them, and determines when runs that were sent to an agent are terminated.
@@ -160,7 +176,7 @@
     this.config.onFrame(agent, frame)
     if (frame.endpoint !== undefined) this.onEndpoint(agent, frame)
     else if (frame.leaving) this.onLeaving(agent)
-    if (frame.resume !== undefined) this.onResume(agent, frame.resume.held.map(taskKey))
+    if (frame.resume !== undefined) this.onResume(agent, frame.resume.held, frame.results)
     for (const result of frame.results) this.onResult(agent, result)
     if (frame.room !== undefined) agent.setFreeCapacity(frame.room)
     if (this.isFrameDue(agent, now)) link.add(() => {})
@@ -213,11 +229,14 @@
   }
 
   /** A start that the agent does not know was never accepted, because the earlier session ended before this one began. */
-  private onResume (agent: LeasedAgent, known: string[]): void {
+  private onResume (agent: LeasedAgent, held: TaskKey[], results: TaskResult[]): void {
     agent.isResumed = true
-    const knownKeys = new Set(known)
-    for (const [key, sent] of [...agent.sent]) {
-      if (knownKeys.has(key)) continue
+    const listed = new Set(held.map(taskKey))
+    const lost = [...agent.sent].filter(([key]) => !listed.has(key))
+    const ended = new Set(results.map(({ key }) => taskKey(key!)))
+    const unwanted = held.filter((key) => !ended.has(taskKey(key)) && !isWanted(agent.sent.get(taskKey(key))))
+    this.options.events.resumed(agent, { listed: held.length, lostStarts: lost.length, unwanted })
+    for (const [key, sent] of lost) {
       agent.sent.delete(key)
       this.options.onNotStarted(agent, sent, REASONS.lostStart)
     }
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -59,7 +59,7 @@
 }
 
 const NO_EVENTS: LeasedDispatchEvents = {
-  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, suspected: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {}
+  ended: () => {}, sent: () => {}, revoked: () => {}, resumed: () => {}, moved: () => {}, requeued: () => {}, suspected: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {}
 }
 
 /**
--- a/packages/coordination/tests/leased/unverifiedLeases.test.ts
+++ b/packages/coordination/tests/leased/unverifiedLeases.test.ts
@@ -167,7 +167,7 @@
       watch: new SuspensionWatch(this.process),
       times: LEASE_TIMES,
       fleet,
-      events: { agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {} },
+      events: { agentChanged: () => {}, agentLost: () => {}, resumed: () => {}, configSeen: () => {}, evacuationsChanged: () => {} },
       onResult: () => {},
       onNotStarted: () => {},
       onLost: (_agent, _sent, reason) => this.lossReasons.push(reason),
--- a/packages/lab/src/labWorld.ts
+++ b/packages/lab/src/labWorld.ts
@@ -49,7 +49,7 @@
 }
 
 const NO_EVENTS: LeasedDispatchEvents = {
-  ended: () => {}, sent: () => {}, moved: () => {}, requeued: () => {}, suspected: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {}
+  ended: () => {}, sent: () => {}, revoked: () => {}, resumed: () => {}, moved: () => {}, requeued: () => {}, suspected: () => {}, result: () => {}, agentChanged: () => {}, agentLost: () => {}, configSeen: () => {}, evacuationsChanged: () => {}
 }
 
 /** The simulated system: entries, agents, endpoints and the links between them, on one event clock. */
--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -45,6 +45,8 @@
   badAnswer: 'bad_answer',
   leaseExpired: 'lease_expired',
   revoked: 'revoked',
+  /** The run takes far longer than others of its kind, and its task is to run elsewhere. */
+  moved: 'moved',
   staleStart: 'stale_start',
   duplicateStart: 'duplicate_start',
   noSlot: 'no_slot',
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -103,7 +103,7 @@
       if (frame.welcome !== undefined) {
         if (!handle.isNeeded()) break
         peer.incarnation = frame.welcome.incarnation
-        log('session_open', { address, entry: frame.welcome.entryId })
+        log('session_open', { address, entry: frame.welcome.entryId, incarnation: peer.incarnation })
         add((hello) => { hello.hello = create(HelloSchema, { agentId, incarnation, zone }) })
         host.openSession(peer.incarnation, add)
         handle.onOpen()
