Runs that are not wanted any more are ended when a session begins

Callers whose connection broke, and who sent their job to another entry 1.3 s later, could have a task of it run twice: the first run was never stopped.

Cause: a request to end a run (the caller has gone, the deadline passed, a straggler is moved) is sent once, on the session that is open at that moment. Without a session it was not sent, on a dying one it was lost, and nothing sent it again; the echoes of the next session renewed the entry lease of the run until it ended done. The class: a decision that must take effect is sent once as a message, and the end of the connection is no event for it.

Now an entry compares what an agent lists on a new session with what it wants there, and asks it to end the rest (reconcileRuns): runs of ended jobs, of tasks that are being moved, and runs that it does not know.

unverifiedLeases.test.ts: its fixture opened a session without the list that each agent sends in its first frame, so nothing was echoed on it any more. It sends the list now; no expectation changed.

--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -1,6 +1,7 @@
+import { create } from '@bufbuild/protobuf'
 import { SuspensionWatch } from '@hazellift/common'
 import type { Clock } from '@hazellift/common'
-import { REASONS } from '@hazellift/protocol'
+import { REASONS, RevokeSchema } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, EntryFrame, Evacuations, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { taskKey } from '../tasks/keys.js'
@@ -10,25 +11,17 @@
 import { LeasedAgent } from './leasedAgent.js'
 import type { SentRun } from './leasedAgent.js'
 import type { LeasedFleet } from './leasedFleet.js'
+import { reconcileRuns } from './reconcileRuns.js'
+import type { ReconciledRuns } from './reconcileRuns.js'
 import { terminationBoundMs } from './times.js'
 import type { LeaseTimes } from './times.js'
 
-/** What an entry concluded from the tasks that an agent listed on a new session. */
-export interface ResumeSummary {
-  /** Number of tasks that the agent listed: runs, waiting starts and results that are not acknowledged. */
-  listed: number
-  /** Number of starts that were sent there and are not listed: they were never accepted. */
-  lostStarts: number
-  /** Listed tasks that run or wait at the agent though this entry does not want them to. */
-  unwanted: TaskKey[]
-}
-
 /** Events of an entry's sessions with agents, for logs and metrics. */
 export interface LeasedSessionEvents {
   /** What the entry knows of an agent has changed. */
   agentChanged: (agent: LeasedAgent, change: 'session_open' | 'session_closed' | 'endpoint' | 'capacity' | 'leaving') => void
-  /** An agent has listed, on a new session, what it has of this entry. */
-  resumed: (agent: LeasedAgent, summary: ResumeSummary) => void
+  /** An agent has listed, on a new session, what it has of this entry: `listed` runs, waiting starts and results that are not acknowledged. */
+  resumed: (agent: LeasedAgent, listed: number, runs: ReconciledRuns) => void
   /** An agent with tasks of this entry was silent for so long that their runs are confirmed terminated. */
   agentLost: (agentId: string, silentMs: number, tasks: number) => void
   /** An agent sent a newer configuration document than this entry's. */
@@ -58,10 +51,6 @@
 /** Shortest time between frames that only echo a timestamp; echoes are at most this and a keep-alive interval apart. */
 const ECHO_INTERVAL_MS = 140
 
-/** True while a run that was sent shall go on: its job is open, and the task is not being moved. */
-const isWanted = (sent: SentRun | undefined): boolean =>
-  sent !== undefined && sent.job.end === undefined && !sent.job.tasks[sent.index]!.isMoving
-
 /**
  * An entry's side of its sessions with agents: handles their frames, fills the frames
  * to them, and determines when runs that were sent to an agent are terminated.
@@ -149,7 +138,8 @@
   fillFrame (agent: LeasedAgent, frame: EntryFrame): void {
     const { fleet, clock } = this.options
     this.watch.check()
-    frame.echoStampMs = fleet.echoLimits.stampToEcho(agent, clock.now())
+    // Until the agent has listed its tasks, an echo would renew the entry lease of runs that are no longer wanted.
+    if (agent.isResumed) frame.echoStampMs = fleet.echoLimits.stampToEcho(agent, clock.now())
     this.config.fillFrame(agent, frame)
     this.evacuations.fillFrame(agent, frame)
     frame.wantingPriority = fleet.demandPriority(agent.service)
@@ -176,7 +166,7 @@
     this.config.onFrame(agent, frame)
     if (frame.endpoint !== undefined) this.onEndpoint(agent, frame)
     else if (frame.leaving) this.onLeaving(agent)
-    if (frame.resume !== undefined) this.onResume(agent, frame.resume.held, frame.results)
+    if (frame.resume !== undefined) this.onResume(agent, link, frame.resume.held, frame.results)
     for (const result of frame.results) this.onResult(agent, result)
     if (frame.room !== undefined) agent.setFreeCapacity(frame.room)
     if (this.isFrameDue(agent, now)) link.add(() => {})
@@ -228,15 +218,20 @@
     this.options.events.agentChanged(agent, 'leaving')
   }
 
-  /** A start that the agent does not know was never accepted, because the earlier session ended before this one began. */
-  private onResume (agent: LeasedAgent, held: TaskKey[], results: TaskResult[]): void {
+  /**
+   * Handles what the agent has of this entry. A start that it does not know was never
+   * accepted, because the earlier session ended before this one began; a run that is no
+   * longer wanted is revoked in the first frame that may renew its entry lease.
+   */
+  private onResume (agent: LeasedAgent, link: AgentLink, held: TaskKey[], results: TaskResult[]): void {
+    const runs = reconcileRuns(agent.sent, held, results)
+    this.options.events.resumed(agent, held.length, runs)
     agent.isResumed = true
-    const listed = new Set(held.map(taskKey))
-    const lost = [...agent.sent].filter(([key]) => !listed.has(key))
-    const ended = new Set(results.map(({ key }) => taskKey(key!)))
-    const unwanted = held.filter((key) => !ended.has(taskKey(key)) && !isWanted(agent.sent.get(taskKey(key))))
-    this.options.events.resumed(agent, { listed: held.length, lostStarts: lost.length, unwanted })
-    for (const [key, sent] of lost) {
+    for (const { workspace, submission, task } of runs.unwanted) {
+      link.add((frame) => { frame.revokes.push(create(RevokeSchema, { workspace, submission, tasks: [task] })) })
+    }
+    for (const key of runs.lostStarts) {
+      const sent = agent.sent.get(key)!
       agent.sent.delete(key)
       this.options.onNotStarted(agent, sent, REASONS.lostStart)
     }
--- a/packages/coordination/tests/leased/unverifiedLeases.test.ts
+++ b/packages/coordination/tests/leased/unverifiedLeases.test.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf'
+import type { MessageInitShape } from '@bufbuild/protobuf'
 import { seededRandom, SuspensionWatch } from '@hazellift/common'
-import { AgentFrameSchema, EntryFrameSchema, HelloSchema, LeasedStartSchema, REASONS } from '@hazellift/protocol'
+import { AgentFrameSchema, EntryFrameSchema, HelloSchema, LeasedStartSchema, REASONS, ResumeSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame } from '@hazellift/protocol'
 import { describe, expect, it } from 'vitest'
 import { LeasedHost, RUN_ENDS } from '../../src/index.js'
@@ -175,13 +176,14 @@
     })
     this.referenceClock.advance(1000)
     this.agent = this.sessions.open(create(HelloSchema, { agentId: 'a', incarnation: 'i', zone: 'z' }), this.link)
-    this.receiveFrame()
+    // An agent lists its tasks in the first frame of a session; before that nothing is echoed.
+    this.receiveFrame({ resume: create(ResumeSchema) })
     this.agent.sent.set('task', { job: undefined as never, index: 0, attempt: 0, sentAt: 1000, endpointIncarnation: '' })
   }
 
   /** Receives a frame of the agent. */
-  receiveFrame (): void {
-    this.sessions.onFrame(this.agent, this.link, create(AgentFrameSchema, { stampMs: 700 + this.referenceClock.now() }))
+  receiveFrame (content: MessageInitShape<typeof AgentFrameSchema> = {}): void {
+    this.sessions.onFrame(this.agent, this.link, create(AgentFrameSchema, { stampMs: 700 + this.referenceClock.now(), ...content }))
   }
 
   /** The timestamp that a frame sent now echoes; 0 if none. */
