Test: a straggler whose request to stop was lost is moved once a session begins

The second thing that the lost request did: the task was neither moved nor stopped, as isMoving stayed set.

--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -83,6 +83,8 @@
   onAgentChanged: LeasedDispatchEvents['agentChanged'] = () => {}
   /** Number of runs that entries stopped for taking far too long. */
   movedRunCount = 0
+  /** Called just before an entry asks an agent to end such a run. */
+  onMoved: () => void = () => {}
   /** Number of frames that entries sent. */
   entryFrameCount = 0
   private readonly pairs: Pair[] = []
@@ -216,7 +218,7 @@
       random: seededRandom(index),
       zone: ZONE,
       times: this.times,
-      events: { ...NO_EVENTS, agentChanged: (agent, change) => this.onAgentChanged(agent, change), moved: () => { this.movedRunCount++ }, configSeen: (_version, document) => this.configDocuments.push({ entry: index, text: Buffer.from(document).toString() }) },
+      events: { ...NO_EVENTS, agentChanged: (agent, change) => this.onAgentChanged(agent, change), moved: () => this.countMovedRun(), configSeen: (_version, document) => this.configDocuments.push({ entry: index, text: Buffer.from(document).toString() }) },
       maxEjectedShare: 0.4,
       ejectionBackoff: () => 1000,
       defer: (fn) => { setImmediate(() => process.run(fn)) }
@@ -258,6 +260,11 @@
     this.endedStartCounts.set(cause, (this.endedStartCounts.get(cause) ?? 0) + 1)
   }
 
+  private countMovedRun (): void {
+    this.movedRunCount++
+    this.onMoved()
+  }
+
   private drop (pair: Pair): void {
     pair.close?.()
     pair.close = undefined
--- a/packages/coordination/tests/leased/lostRevokes.test.ts
+++ b/packages/coordination/tests/leased/lostRevokes.test.ts
@@ -9,6 +9,9 @@
 /** Longer than `RESUBMIT_MS`, so that a run that is not ended overlaps with that of the resubmission. */
 const RUN_MS = 2500
 
+/** Far longer than a job's deadline. */
+const HANGING_RUN_MS = 60_000
+
 const startNetwork = async (): Promise<LeasedNetwork> => {
   const network = new LeasedNetwork(2, 2)
   await network.advance(JOIN_MS)
@@ -59,4 +62,16 @@
     }
     expect(overlaps).toEqual(Object.fromEntries(losses.map(({ name }) => [name, []])))
   })
+  it('a task that is to be moved runs elsewhere', async () => {
+    const network = await startNetwork()
+    for (const endpoint of network.endpoints) endpoint.runMs = HANGING_RUN_MS
+    network.onMoved = () => network.resetConnections(0)
+    network.submit(0, 'j', 1)
+    await network.advance(50)
+    for (const endpoint of network.endpoints) endpoint.runMs = 100
+    await network.advance(RUN_MS)
+    expect(network.movedRunCount).toBe(1)
+    expect(network.jobEnds.get('j')).toEqual({ type: 'complete' })
+    expect(overlappingRuns(network.endpoints)).toEqual([])
+  })
 })
