The test of an owner killed while it claims holds the claim, not any write

The store was to delay the next write by 400 ms, and the owner was killed after 150. Each entry writes a heartbeat every 300 ms in these tests; where that of the other entry came first, it was the one delayed, the claim was not, and the job of 100 ms ended before the kill.

The stand-in now delays transactions that write a key with a prefix, and the test names that of claims, so the check is stricter than before.

--- a/packages/standins/src/platform/faults.ts
+++ b/packages/standins/src/platform/faults.ts
@@ -23,6 +23,8 @@
   loseAcks: number
   /** Number of next transactions that are delayed by `holdMs` before they take effect. */
   holdWrites: number
+  /** Only transactions that write a key with this prefix are delayed; empty for all. */
+  holdPrefix: string
   holdMs: number
 }
 
@@ -35,6 +37,7 @@
   readsPerSecond: 2000,
   loseAcks: 0,
   holdWrites: 0,
+  holdPrefix: '',
   holdMs: 0
 }
 
--- a/packages/standins/src/platform/startPlatform.ts
+++ b/packages/standins/src/platform/startPlatform.ts
@@ -75,7 +75,8 @@
   async transact (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { writes } = fromJsonString(TransactRequestSchema, String(await readBytes(req)))
     if (!await this.admit(res, 'write')) return
-    if (this.faults.holdWrites > 0) {
+    const { holdWrites, holdPrefix } = this.faults
+    if (holdWrites > 0 && writes.some(({ key }) => key.startsWith(holdPrefix))) {
       this.faults.holdWrites--
       await sleep(this.faults.holdMs)
     }
--- a/tests/failures/entryFailures.test.ts
+++ b/tests/failures/entryFailures.test.ts
@@ -5,6 +5,9 @@
 
 const withCluster = clusterRunner()
 
+/** Keys of claim rows begin with this. */
+const CLAIM_PREFIX = 'claim/'
+
 /** Moments in a job's life at which its owner fails, and the final states that are allowed then. */
 const MOMENTS = [
   { name: 'while it claims', tasks: createTasks(4, 100), holdMs: 400, afterMs: 150, states: ['complete', 'failed'] },
@@ -15,7 +18,7 @@
 
 const submitUntilMoment = async (cluster: Cluster, moment: typeof MOMENTS[number], unrepeatable: boolean) => {
   const job = { id: 'owned', tasks: moment.tasks, unrepeatable }
-  await cluster.setPlatform({ holdWrites: moment.holdMs > 0 ? 1 : 0, holdMs: moment.holdMs })
+  await cluster.setPlatform({ holdWrites: moment.holdMs > 0 ? 1 : 0, holdPrefix: CLAIM_PREFIX, holdMs: moment.holdMs })
   const first = submit(cluster, job, { entry: 0 })
   await sleep(moment.afterMs)
   return { job, first }
