A delayed hello is told apart also after its session was ended

Callers saw a task run twice at the same time: an entry that had been suspended took the delayed first frame of a replaced session for the newest one, concluded from its list that runs begun since were never accepted, and sent them elsewhere.

Cause: isOutdated compared with the timestamp to echo, which endSession sets to 0 so that nothing is echoed; so from the end of a session until the agent's next hello nothing was outdated.

The latest timestamp received is now kept apart from the one to echo and never falls, so the comparison holds whatever ended the session.

--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -60,8 +60,10 @@
   isResumed = false
   /** The agent takes no more starts. */
   isLeaving = false
-  /** Latest timestamp received from the agent, in ms on its clock; 0 if there is none to echo. */
+  /** Timestamp to echo: the latest one received, in ms on the agent's clock; 0 if there is none to echo. */
   stampMs = 0
+  /** The latest timestamp received from this agent process, in ms on its clock, also if it must not be echoed. */
+  latestStampMs = 0
   /** Its timestamps with their times of receipt; empty until another entry may hand on jobs. */
   readonly stamps = new StampHistory()
   /** The highest timestamp echoed to this agent process, on any session. */
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -114,7 +114,7 @@
 
   isOutdated ({ agentId, incarnation }: Hello, stampMs: number): boolean {
     const known = this.options.fleet.agents.get(agentId)
-    return known?.incarnation === incarnation && stampMs < known.stampMs
+    return known?.incarnation === incarnation && stampMs < known.latestStampMs
   }
 
   open (hello: Hello, link: AgentLink): LeasedAgent {
@@ -158,6 +158,7 @@
     if (agent.link === link) this.checkLost(agent, now)
     if (agent.link !== link) return
     agent.stampMs = frame.stampMs
+    agent.latestStampMs = Math.max(agent.latestStampMs, frame.stampMs)
     agent.receivedAt = now
     this.options.fleet.echoLimits.onStamp(agent, now)
     if (frame.slowness > 0) agent.slowness = frame.slowness
