A dead process of an agent does not replace the one that lives

Callers saw a task run twice at the same time: the first frame of an agent process that had ended was delayed until its successor had runs. The entry took the dead process for the present one, and its report of an endpoint for the proof that nothing of 'earlier' processes runs, so the runs in progress counted as terminated and were sent elsewhere. Durable jobs in flight there counted as lost likewise.

Cause: isOutdated ordered the hellos of one process only; any other incarnation counted as later, in whatever order the frames arrived.

The clocks of two processes can't be compared, and incarnations have no safe order, but an agent sends its hello only after the welcome on the same session. A process that was welcomed after the known one had been heard lives after that one began, so it is the later one, and is taken at once. Any other is refused like an outdated hello: one that lives dials again and is then welcomed later, so that none is locked out. A usual restart is not delayed, as its session begins after the process before was heard.

--- a/packages/coordination/src/dispatch/agentHandle.ts
+++ b/packages/coordination/src/dispatch/agentHandle.ts
@@ -35,6 +35,8 @@
   freeSlots: number
   /** Demand that was last reported to the agent, less the credits received since. */
   reportedDemand: number
+  /** When this process was first heard, on the entry's monotonic clock, in ms. */
+  firstHeardAt: number
   /** Latest timestamp of the agent's own clock, in ms. */
   stampMs: number
   /** Last timestamp of the agent in the latest resumed session before this one, in ms. */
@@ -51,8 +53,9 @@
  * @param agentId - name of the agent
  * @param incarnation - id of the agent's process
  * @param zone - availability zone of the agent
+ * @param firstHeardAt - when this process was first heard, on the entry's monotonic clock, in ms
  */
-export const createAgentHandle = (agentId: string, incarnation: string, zone: string): AgentHandle => ({
+export const createAgentHandle = (agentId: string, incarnation: string, zone: string, firstHeardAt: number): AgentHandle => ({
   agentId,
   incarnation,
   zone,
@@ -66,6 +69,7 @@
   standingCredits: 0,
   freeSlots: 0,
   reportedDemand: 0,
+  firstHeardAt,
   stampMs: 0,
   previousSessionStampMs: 0,
   sent: new Map(),
--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -6,6 +6,7 @@
 import { submissionKey, taskKey } from '../tasks/keys.js'
 import { createAgentHandle } from './agentHandle.js'
 import type { AgentHandle } from './agentHandle.js'
+import { isOutdatedHello } from '../session/isOutdatedHello.js'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import type { DispatcherOptions } from './dispatcherOptions.js'
 import { InFlightTasks } from './inFlightTasks.js'
@@ -130,17 +131,17 @@
     return this.inFlight.removeJob(job, this.knownAgents)
   }
 
-  /** True if frames that the agent sent after this hello have arrived on another session. */
-  isOutdated ({ agentId, incarnation }: Hello, stampMs: number): boolean {
-    const known = this.agents.get(agentId)
-    return known?.incarnation === incarnation && stampMs < known.stampMs
+  /** True if frames that the agent sent after this hello may have arrived on another session. */
+  isOutdated (hello: Hello, stampMs: number, welcomedAt: number): boolean {
+    const known = this.agents.get(hello.agentId)
+    return isOutdatedHello(known === undefined ? undefined : { ...known, latestStampMs: known.stampMs }, hello, stampMs, welcomedAt)
   }
 
   /** Handles a new session of an agent; an earlier session with it is closed. */
   open (hello: Hello, link: AgentLink): AgentHandle {
     const known = this.agents.get(hello.agentId)
     if (known !== undefined && known.incarnation !== hello.incarnation) this.onAgentLost(known)
-    const agent = this.agents.get(hello.agentId) ?? createAgentHandle(hello.agentId, hello.incarnation, hello.zone)
+    const agent = this.agents.get(hello.agentId) ?? createAgentHandle(hello.agentId, hello.incarnation, hello.zone, this.options.clock.now())
     this.agents.set(agent.agentId, agent)
     agent.link?.close()
     agent.cancelLossTimer?.()
--- a/packages/coordination/src/leased/echoLimits.test.ts
+++ b/packages/coordination/src/leased/echoLimits.test.ts
@@ -19,7 +19,7 @@
   const limits = new EchoLimits()
   const originEntry: OriginEntry = { aliveAt: -Infinity }
   if (hasOrigin) limits.addOrigin(originEntry)
-  const agent = new LeasedAgent(create(HelloSchema, { agentId: 'a', incarnation: 'i', zone: 'z' }))
+  const agent = new LeasedAgent(create(HelloSchema, { agentId: 'a', incarnation: 'i', zone: 'z' }), 0)
   for (const at of times) {
     agent.stampMs = at + CLOCK_AHEAD_MS
     limits.onStamp(agent, at)
--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -93,7 +93,11 @@
   /** Reported free capacity less `unseenNeeds`; cached because every choice of an agent reads it for all agents. */
   private remaining = NO_CAPACITY
 
-  constructor ({ agentId, incarnation, zone }: Hello) {
+  /**
+   * @param hello - the first one of the process
+   * @param firstHeardAt - when it was received, in ms on the entry's clock
+   */
+  constructor ({ agentId, incarnation, zone }: Hello, readonly firstHeardAt: number) {
     this.agentId = agentId
     this.incarnation = incarnation
     this.zone = zone
--- a/packages/coordination/src/leased/leasedFleet.test.ts
+++ b/packages/coordination/src/leased/leasedFleet.test.ts
@@ -20,7 +20,7 @@
 }
 
 const agentOf = (agentId: string, { zone = 'here', freeTasks, slowness = 1, receivedAgoMs = 0 }: AgentCase, now: number): LeasedAgent => {
-  const agent = new LeasedAgent(create(HelloSchema, { agentId, incarnation: agentId, zone }))
+  const agent = new LeasedAgent(create(HelloSchema, { agentId, incarnation: agentId, zone }), 0)
   agent.connect({ add: () => {}, acknowledge: () => {}, close: () => {} }, now - receivedAgoMs)
   agent.isResumed = true
   agent.slowness = slowness
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@hazellift/common'
 import { REASONS, RevokeSchema } from '@hazellift/protocol'
 import type { AgentFrame, EndpointState, EntryFrame, Evacuations, Hello, Reason, TaskKey, TaskResult } from '@hazellift/protocol'
+import { isOutdatedHello } from '../session/isOutdatedHello.js'
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import { taskKey } from '../tasks/keys.js'
 import { ConfigExchange } from './configExchange.js'
@@ -112,9 +113,8 @@
     this.config.sweep(now)
   }
 
-  isOutdated ({ agentId, incarnation }: Hello, stampMs: number): boolean {
-    const known = this.options.fleet.agents.get(agentId)
-    return known?.incarnation === incarnation && stampMs < known.latestStampMs
+  isOutdated (hello: Hello, stampMs: number, welcomedAt: number): boolean {
+    return isOutdatedHello(this.options.fleet.agents.get(hello.agentId), hello, stampMs, welcomedAt)
   }
 
   open (hello: Hello, link: AgentLink): LeasedAgent {
@@ -122,7 +122,7 @@
     const known = fleet.agents.get(hello.agentId)
     const isSame = known?.incarnation === hello.incarnation
     if (known !== undefined && !isSame) this.removeAgent(known)
-    const agent = known !== undefined && isSame ? known : new LeasedAgent(hello)
+    const agent = known !== undefined && isSame ? known : new LeasedAgent(hello, clock.now())
     fleet.agents.set(agent.agentId, agent)
     agent.connect(link, clock.now())
     events.agentChanged(agent, 'session_open')
--- a/packages/coordination/src/session/types.ts
+++ b/packages/coordination/src/session/types.ts
@@ -34,12 +34,13 @@
 /** An entry's side of its sessions; the transport calls it. */
 export interface SessionDispatcher<Agent> {
   /**
-   * True if the agent sent this hello before frames that have arrived on another
-   * session, that is if its session has been replaced already.
+   * True if the agent may have sent this hello before frames that have arrived on
+   * another session, that is if its session has been replaced already, or its process.
    *
    * @param stampMs - timestamp of the frame, on the agent's clock
+   * @param welcomedAt - when the session began, before its welcome was sent, in ms on the entry's steady clock
    */
-  isOutdated: (hello: Hello, stampMs: number) => boolean
+  isOutdated: (hello: Hello, stampMs: number, welcomedAt: number) => boolean
   /** An agent opened a session; an earlier one with the same agent counts as ended. */
   open: (hello: Hello, link: AgentLink) => Agent
   /** Handles a frame that an agent sent. */
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -272,6 +272,9 @@
     const agent = this.agents[pair.agent]!
     const entry = this.entries[pair.entry]!
     if (!agent.isUp || agent.process.isPaused || entry.process.isPaused) return
+    const hello = create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: this.zoneOf(pair.agent) })
+    // The agent dials again in the next step.
+    if (entry.dispatcher.sessions.isOutdated(hello, agent.process.now(), entry.process.now())) return
     const isOpen = { agent: true, entry: true }
     let acknowledgedSeq = 0n
     const agentNow = (): number => agent.process.now()
@@ -319,7 +322,7 @@
       isOpen.entry = false
       entry.dispatcher.sessions.closed(handle, link)
     }
-    const handle = entry.dispatcher.sessions.open(create(HelloSchema, { agentId: `a${pair.agent}`, incarnation: agent.incarnation, zone: this.zoneOf(pair.agent) }), link)
+    const handle = entry.dispatcher.sessions.open(hello, link)
     agent.host.openSession(entry.incarnation, toEntry)
     const close = (): void => {
       agent.process.run(closeAtAgent)
--- a/packages/sessions/src/createSessions.test.ts
+++ b/packages/sessions/src/createSessions.test.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import type { HandlerContext } from '@connectrpc/connect'
+import { systemClock } from '@hazellift/common'
 import type { AgentLink, SessionDispatcher } from '@hazellift/coordination'
 import { AgentFrameSchema, HelloSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame, Hello } from '@hazellift/protocol'
@@ -82,3 +83,24 @@
     await end()
   })
 })
+
+describe('the time at which a session began', () => {
+  it('is before its welcome was sent', async () => {
+    let welcomedAt: number | undefined
+    const { frames, end } = openSession({
+      isOutdated: (_hello, _stampMs, at) => {
+        welcomedAt = at
+        return false
+      },
+      open: (hello) => hello,
+      closed: () => {},
+      onFrame: () => {}
+    })
+    const before = systemClock.now()
+    await frames.next()
+    const after = systemClock.now()
+    expect(welcomedAt).toBeGreaterThanOrEqual(before)
+    expect(welcomedAt).toBeLessThanOrEqual(after)
+    await end()
+  })
+})
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -1,7 +1,7 @@
 import { setImmediate as yieldTurn } from 'node:timers/promises'
 import { create } from '@bufbuild/protobuf'
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect'
-import { createLogger, errorMessage } from '@hazellift/common'
+import { createLogger, errorMessage, systemClock } from '@hazellift/common'
 import { Outbox } from '@hazellift/coordination'
 import type { AgentLink, SessionDispatcher } from '@hazellift/coordination'
 import { EntryFrameSchema, EntryListSchema, WelcomeSchema } from '@hazellift/protocol'
@@ -42,6 +42,8 @@
   agent: Agent | undefined
   /** True once the link was closed: a frame that is still to be sent then carries no state, as another session may have begun. */
   isClosed: boolean
+  /** When it began, before the welcome was sent, on the steady clock. */
+  welcomedAt: number
   /** Number of the last result received; acknowledged with the next frame. */
   ackedSeq: bigint
 }
@@ -88,6 +90,7 @@
 
   private async * open (frames: AsyncIterable<AgentFrame>, context: HandlerContext): AsyncGenerator<EntryFrame> {
     const { dispatcher, observe } = this.options
+    const welcomedAt = systemClock.now()
     const outbox = this.openOutbox()
     const link: AgentLink = {
       add: (change) => outbox.add(change),
@@ -97,7 +100,7 @@
         outbox.close()
       }
     }
-    const session: Session<Agent> = { link, agent: undefined, isClosed: false, ackedSeq: 0n }
+    const session: Session<Agent> = { link, agent: undefined, isClosed: false, welcomedAt, ackedSeq: 0n }
     const watch: SessionWatch = this.keepAliveMonitor.watch({
       isBusy: () => session.agent === undefined || dispatcher.isBusyWith?.(session.agent) !== false,
       sendKeepAlive: () => link.add(() => {}),
@@ -144,8 +147,8 @@
         onReceived()
         observe.read(frame)
         if (frame.hello !== undefined) {
-          // The hello was delayed, and what it says the agent has is from before the present session.
-          if (dispatcher.isOutdated(frame.hello, frame.stampMs)) {
+          // The hello was delayed, and what it says the agent has is from before the present session or process.
+          if (dispatcher.isOutdated(frame.hello, frame.stampMs, session.welcomedAt)) {
             log('hello_outdated', { agent: frame.hello.agentId })
             return observe.outdated?.()
           }
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -104,6 +104,7 @@
         if (!handle.isNeeded()) break
         peer.incarnation = frame.welcome.incarnation
         log('session_open', { address, entry: frame.welcome.entryId, incarnation: peer.incarnation })
+        // Not before the welcome: by that an entry tells a later process of this agent from an earlier one.
         add((hello) => { hello.hello = create(HelloSchema, { agentId, incarnation, zone }) })
         host.openSession(peer.incarnation, add)
         handle.onOpen()
