Each start has a key of its own, so that no late outcome is taken for it

Callers saw a task run twice at the same time, both runs done and none stopped: a job was submitted to its entry again after the entry had lost the first run by time. Its agent had been paused, still had that run, and reported its end while the new start was on the way. The entry took the report for the outcome of the new start, and sent the task elsewhere while it ran.

Cause: attempts were numbered from 0 for each submission, so a start of the second had the same key as one of the first. The acknowledgement that goes with each start keeps outcomes apart that have arrived, but a run that is terminated by the proof of time has an outcome that is still to come.

No two starts share a key, so an outcome that is not of the start in flight is ignored.

--- a/packages/coordination/src/leased/leasedJob.ts
+++ b/packages/coordination/src/leased/leasedJob.ts
@@ -67,7 +67,7 @@
 /** State of one task at the entry that dispatches it. */
 export interface LeasedTaskRecord {
   state: typeof LEASED_TASK_STATES[keyof typeof LEASED_TASK_STATES]
-  /** Number of the current attempt, from 0. */
+  /** Number of its latest start among all starts of this process, from 1; 0 before the first. */
   attempt: number
   /** Runs that failed by fault of the task or its endpoint. */
   failures: number
--- a/packages/coordination/src/leased/leasedSender.ts
+++ b/packages/coordination/src/leased/leasedSender.ts
@@ -34,6 +34,9 @@
 
 /** Sends waiting tasks to agents with free capacity, in the order of their queue, and requests capacity for the rest. */
 export class LeasedSender {
+  /** Number of starts sent by this process so far. */
+  private startCount = 0
+
   constructor (private readonly options: LeasedSenderOptions) {}
 
   /** Schedules the sending of a service's waiting jobs; calls before it runs are merged into one. */
@@ -112,6 +115,8 @@
     const { clock, fleet } = this.options
     const task = job.tasks[index]!
     const { workspace, id } = job
+    // No other start has this number, also none of an earlier submission of the job, whose outcome may still arrive.
+    task.attempt = ++this.startCount
     const key = taskKey(create(TaskKeySchema, { workspace, submission: id, task: index, attempt: task.attempt }))
     task.state = LEASED_TASK_STATES.sent
     job.unterminatedRuns++
