A takeover asks agents on each new session which tasks of the job they know

Callers whose job's owner was lost could be told owner_lost though all results of the job were at agents: the entry that took the job over asks the agents which tasks they know, and a session with one of them was being replaced at that moment.

Cause: the question (collect) was sent once, on the sessions open at the takeover. Lost with its session, or its reply with it, it was not sent again; agents without a session were not asked, and not waited for; an entry without any session failed the job at once. The same class as the lost revoke: a decision sent once as a message, and a new session is no event for it.

Now the job's question stays until no task of it is unknown, and each session that resumes is asked (Takeovers.onResumed). A repeated question is answered like the first: the agent sets the same recipient, and results that are known already are ignored.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -201,6 +201,7 @@
       else this.failLostJob(job, agent)
     }
     this.revokeUnknown(agent, accepted)
+    this.takeovers.onResumed(agent)
   }
 
   private revokeUnknown (agent: AgentHandle, accepted: TaskKey[]): void {
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -78,6 +78,13 @@
     return this.starts.filter((key, index) => this.starts.indexOf(key) !== index)
   }
 
+  /** Adds an entry that has no session yet. */
+  addEntry (): FakeEntry {
+    const entry = this.createEntry(this.entries.length)
+    this.entries.push(entry)
+    return entry
+  }
+
   /** Opens a session; an earlier session of the pair is cut first, as the dialer does. */
   connect (entry: FakeEntry, agent: FakeAgent): void {
     const previous = this.latestSession(entry, agent)
