A run of a job that was taken over ends with the job

A job that was taken over and then cancelled, or failed because an agent's reply came too late, left its tasks running at that agent, where they held slots until they ended.

Cause: requests to end runs go to agents that are known to have some; until its reply arrives an agent is not. The reply for a job that had ended was dropped, so nothing ended what it lists while the session lasted.

Now the entry asks the agent to end what it lists for a job that is not open here (Dispatcher.onCollected). If another entry has taken the job over meanwhile, the agent ignores that, as it knows the new owner.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { REASONS, RevokeSchema } from '@hazellift/protocol'
-import type { AgentFrame, EndpointState, Hello, TaskKey } from '@hazellift/protocol'
+import type { AgentFrame, Collected, EndpointState, Hello, TaskKey } from '@hazellift/protocol'
 import { isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
 import { submissionKey, taskKey } from '../tasks/keys.js'
@@ -9,6 +9,7 @@
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import type { DispatcherOptions } from './dispatcherOptions.js'
 import { InFlightTasks } from './inFlightTasks.js'
+import { revokeTasks } from './revokeTasks.js'
 import { ServiceRegistry } from './serviceRegistry.js'
 import { ServiceState } from './serviceState.js'
 import { TaskEndHandler } from './taskEndHandler.js'
@@ -160,9 +161,7 @@
     if (frame.endsElsewhere !== undefined) this.services.find(agent.service)?.health.recordEnds(agent.agentId, frame.endsElsewhere)
     for (const result of frame.results) this.endHandler.onResult(agent, result)
     if (frame.resume !== undefined) this.onResume(agent, frame.resume.held)
-    for (const { workspace, submission, running } of frame.collected) {
-      this.takeovers.onCollected(agent, this.jobs.get(submissionKey(workspace, submission)), running)
-    }
+    for (const collected of frame.collected) this.onCollected(agent, collected)
     if (frame.credits > 0) this.onCredits(agent, frame.credits)
     // A result may bring its workspace below its limit, which lets tasks of other services start.
     this.scheduleAll()
@@ -205,12 +204,15 @@
   }
 
   private revokeUnknown (agent: AgentHandle, accepted: TaskKey[]): void {
-    const unknown = accepted.filter((key) => !agent.sent.has(taskKey(key)) &&
-      !this.jobs.has(submissionKey(key.workspace, key.submission)))
-    for (const { workspace, submission, task } of unknown) {
-      const message = create(RevokeSchema, { workspace, submission, tasks: [task] })
-      agent.link?.add((frame) => { frame.revokes.push(message) })
-    }
+    revokeTasks(agent, accepted.filter((key) => !agent.sent.has(taskKey(key)) &&
+      !this.jobs.has(submissionKey(key.workspace, key.submission))))
+  }
+
+  /** Handles an agent's reply about a job that was taken over. If the job has ended meanwhile, nobody wants its runs. */
+  private onCollected (agent: AgentHandle, { workspace, submission, running }: Collected): void {
+    const job = this.jobs.get(submissionKey(workspace, submission))
+    if (job === undefined) revokeTasks(agent, running)
+    else this.takeovers.onCollected(agent, job, running)
   }
 
   /** Fails the jobs of all tasks in flight at an agent that is lost. */
--- a/packages/coordination/src/dispatch/takeovers.ts
+++ b/packages/coordination/src/dispatch/takeovers.ts
@@ -63,8 +63,8 @@
    * Handles an agent's list of the tasks of the job that it runs. Results of
    * tasks that ended there have arrived before.
    */
-  onCollected (agent: AgentHandle, job: Job | undefined, running: TaskKey[]): void {
-    if (job?.collecting === undefined) return
+  onCollected (agent: AgentHandle, job: Job, running: TaskKey[]): void {
+    if (job.collecting === undefined) return
     for (const key of running) this.expectResult(agent, job, key)
     const wasAwaited = job.collecting.delete(agent.agentId)
     // Agents that became known only later are not awaited: more of them may follow until the time is over.
--- a/packages/coordination/tests/lostDecisions.test.ts
+++ b/packages/coordination/tests/lostDecisions.test.ts
@@ -3,6 +3,7 @@
 import { createCollectedJob, createJob } from '../src/index.js'
 import type { Job } from '../src/index.js'
 import { FakeNetwork, JOB_BASE } from './fakeNetwork.js'
+import type { FakeEntry } from './fakeNetwork.js'
 
 const DONE = { outcome: TASK_OUTCOMES.done, reason: '' as const, body: 'ok' }
 /** Shorter than the time that a takeover waits for agents. */
@@ -155,3 +156,32 @@
     expect(taker!.failed.map(({ reason }) => reason)).toEqual(['owner_lost'])
   })
 })
+
+describe('a job that ends at its new owner while agents are asked about it', () => {
+  const ends: Array<{ name: string, act: (network: FakeNetwork, taker: FakeEntry, job: Job) => void }> = [
+    { name: 'it is cancelled', act: (_network, taker, job) => taker.dispatcher.drop(job) },
+    {
+      name: 'its time is over before a late reply',
+      act: (network) => {
+        network.clock.advance(LONG_MS)
+      }
+    },
+    {
+      name: 'it is cancelled, and the reply is lost with its session',
+      act: (network, taker, job) => {
+        taker.dispatcher.drop(job)
+        const session = sessionOf(network, 1, 0)
+        while (session.toAgent.length > 0) session.deliverToAgent()
+        open(network, 1, 0)
+      }
+    }
+  ]
+  it.each(ends)('has no run afterwards: $name', async ({ act }) => {
+    const { network } = startJob(1, 2)
+    const [, taker] = network.entries
+    const job = collectedJob(2)
+    taker!.dispatcher.collect(job, JOB_BASE.deadlineAt)
+    act(network, taker!, job)
+    expect(await busy(network)).toEqual([0])
+  })
+})
