An entry leaves the runs of a job that was taken over to its new owner

A job that was taken over could fail with task_failed (revoked) though its tasks ran well: its first owner, which lived, ended a run before the new owner had asked its agent.

Cause: the first owner learns of the takeover from one agent, and forgets the job. On a new session with another agent, which the new owner has not reached yet, it took the runs listed there for those of an ended job. "Ended" and "moved" were the same absence.

Now it remembers moved jobs for as long as a run may last, and ends no run of them (MovedJobs); if it takes a job over in turn, the runs are its own again. What ends unwanted runs is in a module of its own (UnwantedRuns).

Evidence: lostDecisions.test.ts, "leaves its runs to the new owner" failed before (expected [ 0, 2 ] to deeply equal [ 2, 2 ], tasks at the agents). "ends its runs if it takes the job over in turn" passed before, and guards the new memory.

--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -9,12 +9,12 @@
 import type { AgentLink, SessionDispatcher } from '../session/types.js'
 import type { DispatcherOptions } from './dispatcherOptions.js'
 import { InFlightTasks } from './inFlightTasks.js'
-import { revokeTasks } from './revokeTasks.js'
 import { ServiceRegistry } from './serviceRegistry.js'
 import { ServiceState } from './serviceState.js'
 import { TaskEndHandler } from './taskEndHandler.js'
 import { TaskSender } from './taskSender.js'
 import { Takeovers } from './takeovers.js'
+import { UnwantedRuns } from './unwantedRuns.js'
 
 /**
  * Queues the tasks of one entry, sends them to agents and follows them until they end.
@@ -29,6 +29,7 @@
   private readonly jobs = new Map<string, Job>()
   private readonly inFlight = new InFlightTasks()
   private readonly takeovers: Takeovers
+  private readonly unwantedRuns: UnwantedRuns
   private readonly endHandler: TaskEndHandler
   private readonly sender: TaskSender
 
@@ -48,6 +49,7 @@
       jobs: this.jobs,
       onQueued: (service) => this.sender.schedule(service)
     })
+    this.unwantedRuns = new UnwantedRuns(clock, (key) => this.jobs.has(key))
     this.takeovers = new Takeovers({
       clock,
       inFlight: this.inFlight,
@@ -108,22 +110,28 @@
    */
   collect (job: Job, keepMs: number): void {
     this.jobs.set(job.key, job)
+    this.unwantedRuns.onTakenOver(job)
     this.takeovers.begin(job, keepMs, this.knownAgents)
   }
 
   /** Cancels a job: removes its queued tasks and aborts those that run. */
   drop (job: Job): void {
     const message = create(RevokeSchema, { workspace: job.workspace, submission: job.id })
-    for (const agent of this.release(job)) agent.link?.add((frame) => { frame.revokes.push(message) })
+    for (const agent of this.remove(job)) agent.link?.add((frame) => { frame.revokes.push(message) })
+  }
+
+  /** Forgets a job that another entry owns by now, and leaves its running tasks to that entry. */
+  release (job: Job): void {
+    this.remove(job)
+    this.unwantedRuns.onMoved(job)
   }
 
   /**
-   * Forgets a job without aborting its running tasks, for a job that another
-   * entry owns by now.
+   * Removes a job and its queued tasks.
    *
    * @returns the agents that had tasks of it in flight
    */
-  release (job: Job): AgentHandle[] {
+  private remove (job: Job): AgentHandle[] {
     this.services.find(job.service)?.queue.remove(job)
     job.queue = []
     this.jobs.delete(job.key)
@@ -199,19 +207,14 @@
       if (mayRequeue) this.endHandler.onNotStarted(job, task, REASONS.lostStart)
       else this.failLostJob(job, agent)
     }
-    this.revokeUnknown(agent, accepted)
+    this.unwantedRuns.revoke(agent, accepted)
     this.takeovers.onResumed(agent)
   }
 
-  private revokeUnknown (agent: AgentHandle, accepted: TaskKey[]): void {
-    revokeTasks(agent, accepted.filter((key) => !agent.sent.has(taskKey(key)) &&
-      !this.jobs.has(submissionKey(key.workspace, key.submission))))
-  }
-
   /** Handles an agent's reply about a job that was taken over. If the job has ended meanwhile, nobody wants its runs. */
   private onCollected (agent: AgentHandle, { workspace, submission, running }: Collected): void {
     const job = this.jobs.get(submissionKey(workspace, submission))
-    if (job === undefined) revokeTasks(agent, running)
+    if (job === undefined) this.unwantedRuns.revoke(agent, running)
     else this.takeovers.onCollected(agent, job, running)
   }
 
--- a/packages/coordination/tests/lostDecisions.test.ts
+++ b/packages/coordination/tests/lostDecisions.test.ts
@@ -185,3 +185,38 @@
     expect(await busy(network)).toEqual([0])
   })
 })
+
+describe('an entry that has learned that another one took its job over', () => {
+  /** Runs of the job at both agents; the new owner has reached agent 1 only. */
+  const startTakeover = async (): Promise<FakeNetwork> => {
+    const { network } = startJob(2, 4)
+    const [first, taker] = network.entries
+    cut(network, 1, 0)
+    taker!.dispatcher.collect(collectedJob(4), JOB_BASE.deadlineAt)
+    network.deliverAll()
+    expect(first!.takenOver).not.toEqual([])
+    return network
+  }
+
+  it('leaves its runs to the new owner, also on a new session with an agent that was not asked yet', async () => {
+    const network = await startTakeover()
+    open(network, 0, 0)
+    expect(await busy(network)).toEqual([2, 2])
+    open(network, 1, 0)
+    await endAll(network)
+    expect(network.entries[1]!.failed.map(({ reason }) => reason)).toEqual([])
+    expect(network.entries[1]!.complete).toHaveLength(1)
+  })
+
+  it('ends its runs if it takes the job over in turn, and the job ends', async () => {
+    const network = await startTakeover()
+    const [first] = network.entries
+    const job = collectedJob(4)
+    first!.dispatcher.collect(job, JOB_BASE.deadlineAt)
+    network.deliverAll()
+    cut(network, 0, 0)
+    first!.dispatcher.drop(job)
+    open(network, 0, 0)
+    expect(await busy(network)).toEqual([0, 0])
+  })
+})
