A cancellation asks the owner of the job until it has ended

A caller that cancelled a job at another entry than its owner could be told "running" (202), and the job ran on.

Cause: the request to the owner was sent once and its result not read. It was lost with a connection that was reset, not sent at all to an owner whose row had not been read yet, and void if the owner was lost and this entry took the job over: it then waited for the results.

Now the entry asks until there is an answer, or the time of the reply is over (JobCanceller): each round ends the job if it is open here, reads the claim for its present owner, looks the owner up again, asks it, and waits 200 ms. Repeated requests do no harm, as a job that has ended stays as it is.

--- a/packages/coordination/src/jobs/jobService.ts
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -9,6 +9,7 @@
 import type { Admission } from './admission.js'
 import { ClaimFollower } from './claimFollower.js'
 import { bodyHash, isSameBody } from './bodyHash.js'
+import { JobCanceller } from './jobCanceller.js'
 import { JobStarter, STORE_RETRY_MS } from './jobStarter.js'
 import type { AdmittedJob, BeginOutcome } from './jobStarter.js'
 import { OutageLookup } from './outageLookup.js'
@@ -65,6 +66,7 @@
   /** Answers the questions of other entries about this entry's jobs. */
   readonly peerAnswers: PeerAnswers
   private readonly claimFollower: ClaimFollower
+  private readonly canceller: JobCanceller
   private readonly outageLookup: OutageLookup
   /** Claims that are being written at this entry, by submission key. */
   private readonly claiming = new Map<string, Promise<unknown>>()
@@ -74,6 +76,11 @@
   constructor (private readonly options: JobServiceOptions) {
     this.claimFollower = new ClaimFollower({ ...options, ownClaimState: (claim) => this.ownClaimState(claim) })
     this.starter = new JobStarter(options)
+    this.canceller = new JobCanceller({
+      ...options,
+      replyFromMemory: (key, until) => this.replyFromMemory(key, undefined, until),
+      follow: (claim, until) => this.attach(claim, undefined, until)
+    })
     this.peerAnswers = new PeerAnswers({
       owned: options.owned,
       incarnation: options.incarnation,
@@ -140,17 +147,8 @@
 
   /** Cancels a job. The reply is its final answer, which is another one if the job had finished before. */
   async cancel (workspace: string, id: string): Promise<JobReply> {
-    const key = submissionKey(workspace, id)
-    await this.claiming.get(key)
-    this.options.owned.failByKey(key, REASONS.cancelled, 'cancelled')
-    const until = this.options.clock.now() + this.options.claimTimeoutMs
-    const local = await this.replyFromMemory(key, undefined, until)
-    if (local !== undefined) return local
-    const claim = await this.options.claims.read(workspace, id)
-    if (!claim.ok) return refuse(REASONS.storeDown, claim.err.message, RUN_STATES.mayHaveRun, STORE_RETRY_MS)
-    if (claim.value === undefined) return refuse(REASONS.notFound, 'no such job', RUN_STATES.notRun)
-    await this.cancelAtOwner(claim.value)
-    return this.attach(claim.value, undefined, until)
+    await this.claiming.get(submissionKey(workspace, id))
+    return this.canceller.cancel(workspace, id)
   }
 
   private checkAdmission (config: WorkspaceConfig, spec: JobSpec, deadlineMs: number): ReturnType<Admission['check']> {
@@ -266,13 +264,6 @@
     return refuse(REASONS.storeDown, 'the table service does not answer', finding.run, STORE_RETRY_MS)
   }
 
-  private async cancelAtOwner ({ record }: Claim): Promise<void> {
-    const owner = this.options.directory.find(record.ownerEntry, record.ownerIncarnation)
-    if (owner === undefined) return
-    const { workspace, submission, nonce } = record
-    await this.options.peers.cancel(owner.sessionAddress, { workspace, submission, nonce, waitMs: this.options.claimTimeoutMs })
-  }
-
   private ownClaimState (claim: Claim): 'local' | 'released' | 'lost' {
     const { workspace, submission, nonce } = claim.record
     const key = submissionKey(workspace, submission)
