Tests: withdrawals and replies that are lost with a hand-on stream

Work handed on between entries has the class of fault of the lost revoke as a question: a withdrawal is sent once, on the stream of that moment.

--- a/packages/coordination/tests/handoff/handOnNetwork.ts
+++ b/packages/coordination/tests/handoff/handOnNetwork.ts
@@ -27,6 +27,8 @@
   delayed: { toHost: Array<() => void>, toCaller: Array<() => void> }
   /** Drops one side, as if its process had died; the other side is notified unless that direction is cut. */
   drop: (side: 'host' | 'caller') => void
+  /** Ends both sides at once; frames in transit are lost. */
+  reset: () => void
   isClosed: () => boolean
 }
 
@@ -60,6 +62,11 @@
     this.flush()
   }
 
+  /** Resets the stream; frames in transit are lost. Another one is opened soon. */
+  resetStream (): void {
+    this.stream!.reset()
+  }
+
   /** Freezes or resumes the entry: while frozen, it receives and sends nothing. */
   freeze (index: number, isFrozen: boolean): void {
     this.entries[index]!.isFrozen = isFrozen
@@ -141,6 +148,10 @@
         if (side === 'host') deliver('toCaller', closeCaller)
         else deliver('toHost', closeHost)
       },
+      reset: () => {
+        closeCaller()
+        closeHost()
+      },
       isClosed: () => !isOpen.caller && !isOpen.host
     }
     const deliver = (way: 'toHost' | 'toCaller', fn: () => void): void => {
