A session that timed out has ended, also while its connection takes no more frames

Callers whose tasks were at an agent that froze, or whose machine was cut off, could wait until their jobs' deadlines: the entry never counted the agent as lost, and sent it more starts.

Cause: the dispatcher learned of a session's end only when the frames of its response ended. With more data on the way than the connection takes (64 KB of starts to an agent that reads nothing), the next frame is never asked for, so closing the outbox has no effect until the connection itself ends. An entry for ephemeral jobs closes a quiet connection after 3 s, an entry for durable jobs has no such bound. Meanwhile each message for the agent went into a closed outbox.

Now a time-out notifies the dispatcher itself, once.

--- a/packages/sessions/src/createSessions.test.ts
+++ b/packages/sessions/src/createSessions.test.ts
@@ -3,8 +3,9 @@
 import type { AgentLink, SessionDispatcher } from '@hazellift/coordination'
 import { AgentFrameSchema, HelloSchema } from '@hazellift/protocol'
 import type { AgentFrame, EntryFrame, Hello } from '@hazellift/protocol'
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { createSessions } from './createSessions.js'
+import type { KeepAliveTimes } from './types.js'
 
 const TIMES = { keepAliveMs: 1000, timeoutMs: 3000 }
 const ECHO_STAMP_MS = 7
@@ -16,13 +17,13 @@
 }
 
 /** Opens the session of such an agent; `frames` are those that the entry sends. */
-const openSession = (dispatcher: SessionDispatcher<Hello>) => {
+const openSession = (dispatcher: SessionDispatcher<Hello>, times: KeepAliveTimes = TIMES) => {
   const { service, closeAll } = createSessions({
     dispatcher,
     observe: { read: () => {}, sent: () => {} },
     entryId: 'e',
     incarnation: 'e-1',
-    keepAlive: { busy: TIMES, idle: TIMES },
+    keepAlive: { busy: times, idle: times },
     entries: () => []
   })
   const context = { signal: new AbortController().signal } as HandlerContext
@@ -82,3 +83,31 @@
     await end()
   })
 })
+
+describe('a session that times out', () => {
+  const cases = [
+    { name: 'has ended for the dispatcher', isBlocked: false },
+    { name: 'has ended for the dispatcher, also while its connection takes no more frames', isBlocked: true }
+  ]
+  // Otherwise starts are sent to an agent that is gone, and it never counts as lost.
+  it.each(cases)('$name', async ({ isBlocked }) => {
+    const closed: AgentLink[] = []
+    const links: AgentLink[] = []
+    const { frames, end } = openSession({
+      isOutdated: () => false,
+      open: (hello, link) => {
+        links.push(link)
+        return hello
+      },
+      closed: (_agent, link) => { closed.push(link) },
+      onFrame: () => {}
+    }, { keepAliveMs: 1000, timeoutMs: 50 })
+    await frames.next()
+    // A transport asks for the next frame once the connection has taken the last one.
+    const next = isBlocked ? undefined : frames.next()
+    await vi.waitFor(() => expect(closed).toEqual(links), { timeout: 1000 })
+    await next
+    await end()
+    expect(closed).toEqual(links)
+  })
+})
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -42,6 +42,8 @@
   agent: Agent | undefined
   /** True once the link was closed: a frame that is still to be sent then carries no state, as another session may have begun. */
   isClosed: boolean
+  /** True once the dispatcher was notified of the end. */
+  hasEnded: boolean
   /** Number of the last result received; acknowledged with the next frame. */
   ackedSeq: bigint
 }
@@ -97,7 +99,7 @@
         outbox.close()
       }
     }
-    const session: Session<Agent> = { link, agent: undefined, isClosed: false, ackedSeq: 0n }
+    const session: Session<Agent> = { link, agent: undefined, isClosed: false, hasEnded: false, ackedSeq: 0n }
     const watch: SessionWatch = this.keepAliveMonitor.watch({
       isBusy: () => session.agent === undefined || dispatcher.isBusyWith?.(session.agent) !== false,
       sendKeepAlive: () => link.add(() => {}),
@@ -106,6 +108,8 @@
         log('session_timed_out', { agent: session.agent?.agentId, silent: Math.round(silence.silentMs), busy: silence.isBusy })
         observe.timedOut?.(silence)
         link.close()
+        // Not only at the end of the frames: a connection that takes no more of them delays that end for as long as it lasts.
+        this.end(session)
       }
     })
     context.signal.addEventListener('abort', link.close)
@@ -121,10 +125,17 @@
     } finally {
       watch.stop()
       this.outboxes.delete(outbox)
-      if (session.agent !== undefined) dispatcher.closed(session.agent, link)
+      this.end(session)
     }
   }
 
+  /** Notifies the dispatcher, once, that a session has ended. */
+  private end (session: Session<Agent>): void {
+    if (session.hasEnded || session.agent === undefined) return
+    session.hasEnded = true
+    this.options.dispatcher.closed(session.agent, session.link)
+  }
+
   /** Opens the outbox of a new session, with the welcome and the list of entries in its first frame. */
   private openOutbox (): Outbox<EntryFrame> {
     const { entryId, incarnation } = this.options
