Tests: state that is sent once on a session of durable jobs, and lost with it

Leaving, its confirmation, acknowledgements of results, and credits that were granted or returned are covered by the session's first frame and by the agent's end of a session; no test showed it for each.

--- a/packages/coordination/tests/lostDecisions.test.ts
+++ b/packages/coordination/tests/lostDecisions.test.ts
@@ -220,3 +220,76 @@
     expect(await busy(network)).toEqual([0, 0])
   })
 })
+
+describe('state that is sent once on a session', () => {
+  const drain = (frames: unknown[], deliver: () => void): void => { while (frames.length > 0) deliver() }
+  const toAgent = (network: FakeNetwork): void => {
+    const session = sessionOf(network, 0, 0)
+    drain(session.toAgent, () => session.deliverToAgent())
+  }
+  const toEntry = (network: FakeNetwork): void => {
+    const session = sessionOf(network, 0, 0)
+    drain(session.toEntry, () => session.deliverToEntry())
+  }
+
+  const leaves: Array<{ name: string, act: (network: FakeNetwork) => void }> = [
+    { name: 'the agent\'s frame is lost', act: () => {} },
+    { name: 'the entry\'s reply is lost', act: toEntry }
+  ]
+  it.each(leaves)('an agent leaves, and $name: both know of it with the next session, and nothing starts', async ({ act }) => {
+    const network = new FakeNetwork(1, 1)
+    network.deliverAll()
+    network.agents[0]!.host.leave()
+    act(network)
+    open(network, 0, 0)
+    expect(network.agents[0]!.host.isLeavingKnown).toBe(false)
+    network.entries[0]!.dispatcher.add(newJob(1))
+    expect(await busy(network)).toEqual([0])
+    expect(network.agents[0]!.host.isLeavingKnown).toBe(true)
+    expect(network.starts).toEqual([])
+  })
+
+  it('a result whose acknowledgement is lost counts once, and is acknowledged on the next session', async () => {
+    const { network } = startJob(1, 1)
+    for (const task of network.agents[0]!.running.splice(0)) task.end(DONE)
+    await flush()
+    toEntry(network)
+    expect(network.entries[0]!.complete).toHaveLength(1)
+    expect(network.agents[0]!.host.unacked).toBe(1)
+    open(network, 0, 0)
+    network.deliverAll()
+    network.entries[0]!.dispatcher.add(createJob({ ...JOB_BASE, id: 'next', payloads: ['p'] }))
+    network.deliverAll()
+    expect(network.agents[0]!.host.unacked).toBe(0)
+    expect(network.entries[0]!.complete).toHaveLength(1)
+  })
+
+  const losses: Array<{ name: string, act: (network: FakeNetwork, job: Job) => void }> = [
+    { name: 'granted', act: () => {} },
+    {
+      name: 'returned',
+      act: (network, job) => {
+        toEntry(network)
+        network.entries[0]!.dispatcher.drop(job)
+        network.runDeferred()
+        expect(sessionOf(network, 0, 0).toAgent.some(({ returnedCredits }) => returnedCredits > 0)).toBe(true)
+      }
+    }
+  ]
+  // The credits on demand reserve both slots.
+  it.each(losses)('credits that are lost while they are $name reserve no slot', async ({ act }) => {
+    const network = new FakeNetwork(2, 1)
+    network.deliverAll()
+    const many = createJob({ ...JOB_BASE, id: 'many', payloads: ['p', 'p', 'p', 'p'] })
+    network.entries[0]!.dispatcher.add(many)
+    network.runDeferred()
+    toAgent(network)
+    for (const task of network.agents[0]!.running.splice(0)) task.end(DONE)
+    await flush()
+    act(network, many)
+    cut(network, 0, 0)
+    network.entries[1]!.dispatcher.add(newJob(2))
+    network.deliverAll()
+    expect(network.starts).toEqual(['w/many/0', 'w/j/0', 'w/j/1'])
+  })
+})
