--- a/packages/coordination/src/dispatch/dispatcher.ts
+++ b/packages/coordination/src/dispatch/dispatcher.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { REASONS, RevokeSchema } from '@hazellift/protocol'
-import type { AgentFrame, EndpointState, Hello, TaskKey } from '@hazellift/protocol'
+import type { AgentFrame, Collected, EndpointState, Hello, TaskKey } from '@hazellift/protocol'
 import { isFinished } from '../jobs/job.js'
 import type { Job } from '../jobs/job.js'
 import { submissionKey, taskKey } from '../tasks/keys.js'
@@ -15,6 +15,7 @@
 import { TaskEndHandler } from './taskEndHandler.js'
 import { TaskSender } from './taskSender.js'
 import { Takeovers } from './takeovers.js'
+import { UnwantedRuns } from './unwantedRuns.js'
 
 /**
  * Queues the tasks of one entry, sends them to agents and follows them until they end.
@@ -29,6 +30,7 @@
   private readonly jobs = new Map<string, Job>()
   private readonly inFlight = new InFlightTasks()
   private readonly takeovers: Takeovers
+  private readonly unwantedRuns: UnwantedRuns
   private readonly endHandler: TaskEndHandler
   private readonly sender: TaskSender
 
@@ -48,6 +50,7 @@
       jobs: this.jobs,
       onQueued: (service) => this.sender.schedule(service)
     })
+    this.unwantedRuns = new UnwantedRuns(clock, (key) => this.jobs.has(key))
     this.takeovers = new Takeovers({
       clock,
       inFlight: this.inFlight,
@@ -108,22 +111,28 @@
    */
   collect (job: Job, keepMs: number): void {
     this.jobs.set(job.key, job)
+    this.unwantedRuns.onTakenOver(job)
     this.takeovers.begin(job, keepMs, this.knownAgents)
   }
 
   /** Cancels a job: removes its queued tasks and aborts those that run. */
   drop (job: Job): void {
     const message = create(RevokeSchema, { workspace: job.workspace, submission: job.id })
-    for (const agent of this.release(job)) agent.link?.add((frame) => { frame.revokes.push(message) })
+    for (const agent of this.remove(job)) agent.link?.add((frame) => { frame.revokes.push(message) })
+  }
+
+  /** Forgets a job that another entry owns by now, and leaves its running tasks to that entry. */
+  release (job: Job): void {
+    this.remove(job)
+    this.unwantedRuns.onMoved(job)
   }
 
   /**
-   * Forgets a job without aborting its running tasks, for a job that another
-   * entry owns by now.
+   * Removes a job and its queued tasks.
    *
    * @returns the agents that had tasks of it in flight
    */
-  release (job: Job): AgentHandle[] {
+  private remove (job: Job): AgentHandle[] {
     this.services.find(job.service)?.queue.remove(job)
     job.queue = []
     this.jobs.delete(job.key)
@@ -161,9 +170,7 @@
     if (frame.endsElsewhere !== undefined) this.services.find(agent.service)?.health.recordEnds(agent.agentId, frame.endsElsewhere)
     for (const result of frame.results) this.endHandler.onResult(agent, result)
     if (frame.resume !== undefined) this.onResume(agent, frame.resume.held)
-    for (const { workspace, submission, running } of frame.collected) {
-      this.takeovers.onCollected(agent, this.jobs.get(submissionKey(workspace, submission)), running)
-    }
+    for (const collected of frame.collected) this.onCollected(agent, collected)
     if (frame.credits > 0) this.onCredits(agent, frame.credits)
     // A result may bring its workspace below its limit, which lets tasks of other services start.
     this.scheduleAll()
@@ -201,16 +208,15 @@
       if (mayRequeue) this.endHandler.onNotStarted(job, task, REASONS.lostStart)
       else this.failLostJob(job, agent)
     }
-    this.revokeUnknown(agent, accepted)
+    this.unwantedRuns.revoke(agent, accepted)
+    this.takeovers.onResumed(agent)
   }
 
-  private revokeUnknown (agent: AgentHandle, accepted: TaskKey[]): void {
-    const unknown = accepted.filter((key) => !agent.sent.has(taskKey(key)) &&
-      !this.jobs.has(submissionKey(key.workspace, key.submission)))
-    for (const { workspace, submission, task } of unknown) {
-      const message = create(RevokeSchema, { workspace, submission, tasks: [task] })
-      agent.link?.add((frame) => { frame.revokes.push(message) })
-    }
+  /** Handles an agent's reply about a job that was taken over. If the job has ended meanwhile, nobody wants its runs. */
+  private onCollected (agent: AgentHandle, { workspace, submission, running }: Collected): void {
+    const job = this.jobs.get(submissionKey(workspace, submission))
+    if (job === undefined) this.unwantedRuns.revoke(agent, running)
+    else this.takeovers.onCollected(agent, job, running)
   }
 
   /** Fails the jobs of all tasks in flight at an agent that is lost. */
