--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -168,7 +168,6 @@
   private onFailed (agent: LeasedAgent, sent: SentRun, reason: Reason): void {
     const { job, index } = sent
     const task = job.tasks[index]!
-    task.attempt++
     if (task.isMoving) task.avoidedAgents.add(agent.agentId)
     const end = this.suspects.onFailed(agent, sent, reason)
     if (end !== undefined) this.finish(job, end)
@@ -197,7 +196,6 @@
   }
 
   private onLost (agent: LeasedAgent, { job, index }: SentRun, reason: Reason): void {
-    job.tasks[index]!.attempt++
     this.requeue(agent, job, index, reason)
   }
 
--- a/packages/coordination/src/leased/leasedSender.ts
+++ b/packages/coordination/src/leased/leasedSender.ts
@@ -34,8 +34,8 @@
 
 /** Sends waiting tasks to agents with free capacity, in the order of their queue, and requests capacity for the rest. */
 export class LeasedSender {
-  /** Number of starts sent by this process so far. */
-  private startCount = 0
+  /** Number of the latest start sent by this process. */
+  private startNumber = 0
 
   constructor (private readonly options: LeasedSenderOptions) {}
 
@@ -116,7 +116,7 @@
     const task = job.tasks[index]!
     const { workspace, id } = job
     // No other start has this number, also none of an earlier submission of the job, whose outcome may still arrive.
-    task.attempt = ++this.startCount
+    task.attempt = this.nextStartNumber()
     const key = taskKey(create(TaskKeySchema, { workspace, submission: id, task: index, attempt: task.attempt }))
     task.state = LEASED_TASK_STATES.sent
     job.unterminatedRuns++
@@ -125,4 +125,10 @@
     fleet.healthOf(agent)?.sent(agent.agentId)
     fleet.serviceOf(job.service).load.onStarted(job.priority, job.need.cpuMilli * job.expectedMs)
   }
+
+  /** Numbers are 32 bits wide on the wire, and begin anew after the highest one: outcomes of starts that long ago have arrived. */
+  private nextStartNumber (): number {
+    this.startNumber = (this.startNumber + 1) >>> 0
+    return this.startNumber
+  }
 }
