An owner learns of a takeover from a start that waits at an agent

After a job had been taken over, and its caller told that it failed, a task of it could still start: its first owner, which lived, sent it to an agent that the new owner had not reached.

Cause: an agent that is asked about a job refuses what waits there for a slot as "revoked", and forgets it; if it had nothing else of the job, it told the first owner nothing of the takeover. That owner sent the task elsewhere, as after any start that did not happen.

Now such a start is refused as "taken over", as are starts that arrive later, and the first owner releases the job.

Evidence: lostDecisions.test.ts, "starts no task of it elsewhere" failed before (expected [ 'w/j/0' ] to deeply equal []).

--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -248,7 +248,8 @@
 
   private onCollect (incarnation: string, { workspace, submission, keepMs }: Collect): void {
     const startedBefore = this.ledger.revoke(workspace, submission, [])
-    this.refuseWaitingOf(new Set(startedBefore))
+    // Their owner must not take them for revoked ones and send them to agents that were not asked yet.
+    this.refuseWaitingOf(new Set(startedBefore), REASONS.takenOver)
     const started = this.ledger.collect(workspace, submission, incarnation, keepMs)
     for (const { origin, key } of started) if (origin !== incarnation) this.reportTakenOver(origin, key)
     for (const result of started.map(rememberedResult)) if (result !== undefined) this.sessions.deliver(incarnation, result)
--- a/packages/coordination/tests/lostDecisions.test.ts
+++ b/packages/coordination/tests/lostDecisions.test.ts
@@ -208,6 +208,26 @@
     expect(network.entries[1]!.complete).toHaveLength(1)
   })
 
+  it('starts no task of it elsewhere that had been accepted and waited for a slot', async () => {
+    const network = new FakeNetwork(3, 2)
+    const [busyEntry, first, taker] = network.entries
+    for (const entry of [0, 1, 2]) cut(network, entry, 1)
+    network.deliverAll()
+    busyEntry!.dispatcher.add(createJob({ ...JOB_BASE, id: 'other', payloads: ['p', 'p'] }))
+    network.deliverAll()
+    // The entry does not know yet that the slots are busy.
+    first!.dispatcher.knownAgents[0]!.freeSlots = 1
+    first!.dispatcher.add(newJob(1))
+    network.deliverAll()
+    expect(network.agents[0]!.host.busy).toBe(3)
+    open(network, 1, 1)
+    taker!.dispatcher.collect(collectedJob(1), JOB_BASE.deadlineAt)
+    network.deliverAll()
+    await endAll(network)
+    await endAll(network)
+    expect(network.starts.filter((key) => key.startsWith('w/j/'))).toEqual([])
+  })
+
   it('ends its runs if it takes the job over in turn, and the job ends', async () => {
     const network = await startTakeover()
     const [first] = network.entries
