The model has callers that leave and sessions that break

A run whose caller had gone could go on beside that of the resubmission, and the model could not show it: no caller left while its entry lived, and no session broke, so a revoke could not be lost.

With SESSIONS, agents begin further sessions with the first entry at any time. What was sent on the earlier one is lost; the agent lists what it has, and the entry takes back what is not listed, revokes what is not wanted, and echoes only then. The caller may leave a living entry, which sends a revoke that arrives in order or is lost.

The model as it was had no state in which the variant could fail. Now NO_RECONCILE and NO_ECHO_AFTER_LIST fail, as do seven more: no revoke on the open session, revokes overtaken by echoes, frames of ended sessions, starts before the list, an outdated hello, unanswered starts that are not listed, and an entry that learns a tick late that its caller has left.

The last of the variants is a gap of the protocol, not of the mend: an overlap is possible once the entry learns R - S - H or more late of it (docs/MODEL.md).

--- a/model/lease.pml
+++ b/model/lease.pml
@@ -8,7 +8,7 @@
  *  - An agent's entry lease ends ENTRY_LEASE after the timestamp that the entry echoed.
  *  - A run lease lasts RUN_LEASE from its renewal, on the endpoint's clock.
  *  - A caller sends its job again no sooner than RESEND_DELAY after its entry
- *    died, and RESEND_DELAY > ENTRY_LEASE + RUN_LEASE.
+ *    died or its connection broke, and RESEND_DELAY > ENTRY_LEASE + RUN_LEASE.
  * A stop by a live agent is one step. An endpoint may start again under its id; an
  * order reaches the incarnation that it is meant for or none, as the agent sends
  * orders only on connections on which this incarnation was announced.
@@ -20,6 +20,14 @@
  * later timestamp is echoed, and the entry ends its sessions. The time limit of an
  * unverified lease is not modelled, as no run is renewed while its lease is
  * unverified. Frames arrive at once or not at all; echoes arrive at any time.
+ *
+ * With SESSIONS, agents may begin further sessions with the first entry at any time: an
+ * earlier session has broken then, whether or not the entry knows. What the entry sent
+ * on it and has not arrived is lost; a broken session with none after it is one on which
+ * nothing arrives any more. On a new session the agent lists what it has of the entry. The caller
+ * may leave a living entry (its connection broke), which asks the agent to end the run
+ * (revoke). With MAX_UNNOTICED, the entry learns up to so many ticks later that its
+ * caller has left, and acts meanwhile as before.
  */
 
 #ifndef ENTRY_LEASE
@@ -44,6 +52,17 @@
 #define MAX_RESTARTS 0  /* of endpoints, under the same id */
 #endif
 
+#ifndef MAX_SESSIONS
+#define MAX_SESSIONS 2  /* that begin after the first one of each pair */
+#endif
+#ifndef MAX_UNNOTICED
+#ifdef NO_PROMPT_LEAVE
+#define MAX_UNNOTICED 1
+#else
+#define MAX_UNNOTICED 0 /* ticks before the entry learns that its caller has left */
+#endif
+#endif
+
 #ifndef NE
 #define NE 2            /* entries: the first one has the job; the second one receives it when it is sent again */
 #endif
@@ -54,6 +73,8 @@
 #ifdef SUSPENSIONS       /* and only the first entry and its agent are suspended */
 #define MAY_RECEIVE(a, e) ((a) == (e))
 #define MAY_BE_SUSPENDED(a, e) ((a) == 0 && (e) == 0)
+#elif defined(SESSIONS)  /* no earlier echo of the second entry changes what may happen once it has the job */
+#define MAY_RECEIVE(a, e) ((a) == (e) && ((e) == 0 || jobOwner == (e)))
 #else
 #define MAY_RECEIVE(a, e) ((a) <= (e))
 #endif
@@ -89,6 +110,19 @@
 #define IS_UNVERIFIED(a, e) false
 #define HAS_SESSION_ENDED(a, e) false
 #endif
+#ifdef SESSIONS
+#define HAS_LEFT_UNNOTICED hasLeftUnnoticed
+#define IS_LIST_DUE(a, e) ((e) == 0 && isListDue[a])
+#define IS_REVOKE_NEXT(a, e) ((e) == 0 && isRevokeInTransit[a] && !isRevokeAfterOrder[a])
+#define HAS_CALLER_TO_RESEND (jobOwner == NONE)
+#else
+#define HAS_LEFT_UNNOTICED false
+#define IS_LIST_DUE(a, e) false
+#define IS_REVOKE_NEXT(a, e) false
+#define HAS_CALLER_TO_RESEND (!entryUp[0] && jobOwner == NONE)
+#endif
+/* The entry has the job, or has not learned yet that its caller has left. */
+#define WANTS_JOB(e) (jobOwner == (e) || ((e) == 0 && HAS_LEFT_UNNOTICED))
 
 byte now = 1;
 
@@ -132,6 +166,20 @@
 byte suspensionCount;
 #endif
 
+#ifdef SESSIONS
+/* Sessions of the agents with the first entry. */
+byte sessionCount;
+bool isListDue[NA];           /* the agent has begun a session, and the entry has not received its list yet */
+bool isRunListed[NA];         /* that list contains the task */
+bool isRevokeInTransit[NA];   /* a revoke has not arrived at the agent yet */
+bool isRevokeAfterOrder[NA];  /* it was sent after the order that is in transit */
+byte revokeEcho[NA];          /* the latest timestamp that was echoed before it on its session */
+bool hasLeftUnnoticed;        /* the caller has left the first entry, which does not know yet */
+#ifdef NO_OUTDATED_HELLO
+bool isOldListDue[NA], isOldRunListed[NA]; /* the list of the session before the latest one */
+#endif
+#endif
+
 inline startRun(a, e) {
   assert(!running[0] && !running[1]);
   running[a] = true;
@@ -223,6 +271,89 @@
 }
 #endif
 
+#ifdef SESSIONS
+#ifdef NO_ECHO_AFTER_LIST
+#define ECHOED_ON_SESSION(a) stampReceived[PAIR(a, 0)]
+#else
+#define ECHOED_ON_SESSION(a) (isListDue[a] -> 0 : stampReceived[PAIR(a, 0)])
+#endif
+
+/* The latest timestamp that an echo may carry which arrives now: on one session none overtakes an order or a revoke. */
+inline findEcho(a, e) {
+  if :: e == 0 -> echo = ECHOED_ON_SESSION(a) :: else -> echo = stampReceived[PAIR(a, e)] fi;
+  if :: orderInTransit[PAIR(a, e)] && orderEcho[PAIR(a, e)] < echo -> echo = orderEcho[PAIR(a, e)] :: else fi;
+#ifndef NO_REVOKE_ORDER
+  if :: e == 0 && isRevokeInTransit[a] && revokeEcho[a] < echo -> echo = revokeEcho[a] :: else fi
+#endif
+}
+
+inline sendRevoke(a, echoed) {
+  isRevokeInTransit[a] = true;
+  isRevokeAfterOrder[a] = orderInTransit[PAIR(a, 0)];
+  revokeEcho[a] = echoed
+}
+
+inline dropRevoke(a) {
+  isRevokeInTransit[a] = false;
+  isRevokeAfterOrder[a] = false;
+  revokeEcho[a] = 0
+}
+
+/* The agent lists what it has of the entry. What was sent on the earlier session arrives no more. */
+inline beginListedSession(a) {
+#ifdef NO_OUTDATED_HELLO
+  isOldListDue[a] = isListDue[a];
+  isOldRunListed[a] = isListDue[a] && isRunListed[a];
+#endif
+  isListDue[a] = true;
+#ifdef NO_UNANSWERED_LISTED
+  isRunListed[a] = (running[a] && runOwner[a] == 0);
+#else
+  isRunListed[a] = ((running[a] && runOwner[a] == 0) || (isOrderLate[a] && lateOwner[a] == 0));
+#endif
+  dropRevoke(a);
+#ifdef NO_SESSION_FENCE
+  if :: orderInTransit[PAIR(a, 0)] -> orderEcho[PAIR(a, 0)] = NONE :: else fi /* which limits no echo on the new session */
+#else
+  orderInTransit[PAIR(a, 0)] = false;
+  orderEcho[PAIR(a, 0)] = 0
+#endif
+}
+
+/* The entry compares the list with what it wants. A start that is not listed was never accepted. */
+inline reconcile(a) {
+  isListDue[a] = false;
+#ifndef NO_RECONCILE
+  if
+  :: isRunListed[a] && !(WANTS_JOB(0) && sentTo[0] == a) && !isRevokeInTransit[a] ->
+#ifdef NO_ECHO_AFTER_LIST
+     sendRevoke(a, stampReceived[PAIR(a, 0)])
+#else
+     sendRevoke(a, 0)
+#endif
+  :: else
+  fi;
+#endif
+  if :: !isRunListed[a] && sentTo[0] == a -> sentTo[0] = NONE :: else fi;
+  isRunListed[a] = false
+}
+
+/* The entry learns that its caller has left, and asks the agent to end the run. */
+inline noticeLeave() {
+  hasLeftUnnoticed = false;
+#ifndef NO_REVOKE
+  if
+  :: sentTo[0] != NONE ->
+     if
+     :: sendRevoke(sentTo[0], ECHOED_ON_SESSION(sentTo[0]))
+     :: isListDue[sentTo[0]] /* sent on the earlier session, and lost */
+     fi
+  :: else
+  fi
+#endif
+}
+#endif
+
 inline renewEntryLease(a, e, stamp) {
 #ifdef NO_ECHO_STAMP
   if :: stamp > 0 -> entryLeaseEnd[PAIR(a, e)] = AGENT_NOW(a) + ENTRY_LEASE :: else fi
@@ -249,6 +380,9 @@
 
 /* Runs whose leases were not renewed expire, on the endpoints' own clocks. */
 inline advanceTime() {
+#ifdef SESSIONS
+  if :: hasLeftUnnoticed && now >= ownerLostAt + MAX_UNNOTICED -> noticeLeave() :: else fi;
+#endif
   now++;
   if :: running[0] && runLeaseEnd[0] < now -> running[0] = false :: else fi;
   if :: running[1] && runLeaseEnd[1] < now -> running[1] = false :: else fi
@@ -256,6 +390,9 @@
 
 init {
   byte i, a, e;
+#ifdef SESSIONS
+  byte echo;
+#endif
   atomic {
     for (i : 0 .. NA - 1) { agentUp[i] = true; hasJoined[i] = true; agentToken[i] = 1; highestToken[i] = 1 }
     for (i : 0 .. NE - 1) { entryUp[i] = true; sentTo[i] = NONE }
@@ -288,10 +425,10 @@
            isStampOutdated[PAIR(a, e)] = false
         fi
 #elif defined(PROMPT_FRAMES)
-     :: agentUp[a] && entryUp[e] && MAY_RECEIVE(a, e) && stampReceived[PAIR(a, e)] < now -> stampReceived[PAIR(a, e)] = now
+     :: agentUp[a] && entryUp[e] && MAY_RECEIVE(a, e) && !IS_LIST_DUE(a, e) && stampReceived[PAIR(a, e)] < now -> stampReceived[PAIR(a, e)] = now
 #else
-     :: agentUp[a] && entryUp[e] && stampReceived[PAIR(a, e)] < now -> stampReceived[PAIR(a, e)] = now; receivedAt[PAIR(a, e)] = now
-     :: agentUp[a] && entryUp[e] && stampReceived[PAIR(a, e)] + 1 < now -> stampReceived[PAIR(a, e)] = now - 1; receivedAt[PAIR(a, e)] = now
+     :: agentUp[a] && entryUp[e] && MAY_RECEIVE(a, e) && !IS_LIST_DUE(a, e) && stampReceived[PAIR(a, e)] < now -> stampReceived[PAIR(a, e)] = now; receivedAt[PAIR(a, e)] = now
+     :: agentUp[a] && entryUp[e] && MAY_RECEIVE(a, e) && !IS_LIST_DUE(a, e) && stampReceived[PAIR(a, e)] + 1 < now -> stampReceived[PAIR(a, e)] = now - 1; receivedAt[PAIR(a, e)] = now
 #endif
      /* An echo arrives at the agent, also after its entry died. An echo older than the latest one would renew the lease for less time. */
 #ifdef SUSPENSIONS
@@ -307,6 +444,12 @@
            :: else -> renewEntryLease(a, e, stampReceived[PAIR(a, e)])
            fi
         fi
+#elif defined(SESSIONS)
+     :: agentUp[a] && stampReceived[PAIR(a, e)] > 0 ->
+        expireRun(a);
+        findEcho(a, e);
+        renewEntryLease(a, e, echo);
+        echo = 0
 #else
      :: agentUp[a] && stampReceived[PAIR(a, e)] > 0 ->
         expireRun(a);
@@ -320,7 +463,7 @@
 #endif
 #endif
      /* The entry orders a start if none of its earlier orders can run. */
-     :: entryUp[e] && jobOwner == e && MAY_ORDER(a, e) && sentTo[e] == NONE && stampReceived[PAIR(a, e)] > 0 && !HAS_SESSION_ENDED(a, e) ->
+     :: entryUp[e] && WANTS_JOB(e) && MAY_ORDER(a, e) && sentTo[e] == NONE && stampReceived[PAIR(a, e)] > 0 && !HAS_SESSION_ENDED(a, e) ->
 #ifdef SUSPENSIONS
         checkEntryClocks(e);
         if
@@ -331,13 +474,23 @@
            isOrderOutdated[PAIR(a, e)] = isStampOutdated[PAIR(a, e)]
         :: else
         fi
+#elif defined(SESSIONS)
+        sentTo[e] = a;
+        if
+#ifndef NO_START_AFTER_LIST
+        :: IS_LIST_DUE(a, e) /* sent on the earlier session, and lost */
+#endif
+        :: else ->
+           orderInTransit[PAIR(a, e)] = true;
+           if :: e == 0 -> orderEcho[PAIR(a, e)] = ECHOED_ON_SESSION(a) :: else -> orderEcho[PAIR(a, e)] = stampReceived[PAIR(a, e)] fi
+        fi
 #else
         sentTo[e] = a;
         orderInTransit[PAIR(a, e)] = true;
         orderEcho[PAIR(a, e)] = stampReceived[PAIR(a, e)]
 #endif
      /* The order arrives, at any time. */
-     :: agentUp[a] && orderInTransit[PAIR(a, e)] ->
+     :: agentUp[a] && orderInTransit[PAIR(a, e)] && !IS_REVOKE_NEXT(a, e) ->
 #ifdef SUSPENSIONS
         checkAgentClocks(a);
         isOrderOutdated[PAIR(a, e)] = false;
@@ -437,6 +590,11 @@
      :: agentUp[a] && deathCount < MAX_DEATHS -> agentUp[a] = false; hasJoined[a] = false; deathCount++;
         entryLeaseEnd[PAIR(a, 0)] = 0; entryLeaseEnd[PAIR(a, NE - 1)] = 0
      :: !agentUp[a] -> agentUp[a] = true; agentToken[a]++;
+#ifdef SESSIONS
+        dropRevoke(a);
+        isListDue[a] = false;
+        isRunListed[a] = false;
+#endif
         orderInTransit[PAIR(a, 0)] = false; orderInTransit[PAIR(a, NE - 1)] = false;
         orderEcho[PAIR(a, 0)] = 0; orderEcho[PAIR(a, NE - 1)] = 0;
         stampReceived[PAIR(a, 0)] = 0; stampReceived[PAIR(a, NE - 1)] = 0
@@ -460,9 +618,33 @@
         isIncarnationUnknown[a] = true
      /* A heartbeat or a new connection announces the new incarnation to the agent. */
      :: agentUp[a] && hasJoined[a] && isIncarnationUnknown[a] -> learnIncarnation(a); highestToken[a] = agentToken[a]
+#ifdef SESSIONS
+     /* An agent begins a session with the first entry; the earlier one has broken. */
+     :: e == 0 && MAY_RECEIVE(a, 0) && agentUp[a] && hasJoined[a] && sessionCount < MAX_SESSIONS -> sessionCount++; beginListedSession(a)
+     :: e == 0 && isListDue[a] -> reconcile(a)
+#ifdef NO_OUTDATED_HELLO
+     :: e == 0 && isOldListDue[a] && !isListDue[a] ->
+        isOldListDue[a] = false;
+        if :: !isOldRunListed[a] && sentTo[0] == a -> sentTo[0] = NONE :: else fi;
+        isOldRunListed[a] = false
+#endif
+     /* A revoke arrives. */
+     :: agentUp[a] && e == 0 && isRevokeInTransit[a] && !(isRevokeAfterOrder[a] && orderInTransit[PAIR(a, 0)]) ->
+        dropRevoke(a);
+        if :: running[a] && runOwner[a] == 0 -> running[a] = false :: else fi;
+        if :: isOrderLate[a] && lateOwner[a] == 0 -> isOrderLate[a] = false :: else fi /* the stop voids it */
+     /* The caller leaves the first entry and sends the job again to the other one. An entry that dies is one whose revoke and later steps do not come. */
+     :: jobOwner == 0 && NE > 1 ->
+        ownerLostAt = now;
+        jobOwner = NONE;
+        hasLeftUnnoticed = true;
+        if :: MAX_UNNOTICED == 0 -> noticeLeave() :: else fi
+     :: hasLeftUnnoticed -> noticeLeave()
+#else
      /* The first entry dies; its caller sends the job again to the other one. */
      :: entryUp[0] && NE > 1 -> entryUp[0] = false; ownerLostAt = now; jobOwner = NONE
-     :: !entryUp[0] && jobOwner == NONE &&
+#endif
+     :: HAS_CALLER_TO_RESEND &&
 #ifndef NO_RESEND_GAP
         now >= ownerLostAt + RESEND_DELAY &&
 #endif
@@ -477,6 +659,8 @@
         :: suspendAgent(a); suspendEntry(e)
         fi;
         advanceTime()
+#elif defined(SESSIONS)
+     :: true -> advanceTime()
 #else
      :: advanceTime()
 #endif
--- a/scripts/runModel.js
+++ b/scripts/runModel.js
@@ -40,6 +40,9 @@
   leaseEntryDies: { NE: 2, MAX_DEATHS: 0, MAX_LATE: 0, PROMPT_FRAMES: true, OWN_AGENTS: true },
   leaseSuspended: { NE: 1, MAX_DEATHS: 0, MAX_LATE: 0, SUSPENSIONS: true, MAX_SUSPENSIONS: 2 },
   leaseSuspendedCutOff: { NE: 2, MAX_DEATHS: 0, MAX_LATE: 0, OWN_AGENTS: true, SUSPENSIONS: true, MAX_SUSPENSIONS: 2 },
+  leaseSessions: { NE: 1, MAX_DEATHS: 0, MAX_LATE: 1, PROMPT_FRAMES: true, SESSIONS: true, MAX_SESSIONS: 2 },
+  leaseCallerLeaves: { NE: 2, MAX_DEATHS: 0, MAX_LATE: 0, MAX_TIME: 7, OWN_AGENTS: true, SESSIONS: true, MAX_SESSIONS: 2 },
+  leaseCallerLeavesFaults: { NE: 2, MAX_DEATHS: 1, MAX_LATE: 1, OWN_AGENTS: true, SESSIONS: true, MAX_SESSIONS: 2 },
   handOn: { NA: 1, LATE_ENTRIES: true },
   handOnLateAgents: { NA: 1, MAX_TIME: 5, LATE_ENTRIES: true, LATE_AGENTS: true }
 }
@@ -74,6 +77,9 @@
   { file: LEASE, budget: 'leaseEntryDies', property: 'the same with an entry that crashes and a job that is submitted again' },
   { file: LEASE, budget: 'leaseSuspended', property: 'the same with agents and an entry that are suspended, alone, together or one after the other' },
   { file: LEASE, budget: 'leaseSuspendedCutOff', property: 'the same with an entry that is suspended, with or without its agent, and a caller that is disconnected meanwhile and submits again' },
+  { file: LEASE, budget: 'leaseSessions', property: 'the same with sessions that break and begin again, and an order that is executed late' },
+  { file: LEASE, budget: 'leaseCallerLeaves', property: 'the same with a caller that leaves a live entry and submits again, while sessions break and revokes are lost with them' },
+  { file: LEASE, budget: 'leaseCallerLeavesFaults', property: 'the same with an agent that crashes, and an order that is executed late' },
   { file: HAND_ON, budget: 'handOn', property: 'the same with a job that was handed on: either entry crashes, becomes silent, loses one direction of the network or is suspended, and withdrawals cross the first start' },
   { file: HAND_ON, budget: 'handOnLateAgents', property: 'the same with late frames from agents' }
 ]
@@ -136,6 +142,15 @@
   { file: LEASE, budget: 'leaseSuspended', guard: 'NO_LATER_STAMP', without: 'the rule that only a later timestamp verifies an unverified lease' },
   { file: LEASE, budget: 'leaseSuspended', guard: 'NO_HOLD_CHECK', without: 'renewing no run lease while the entry lease is unverified' },
   { file: LEASE, budget: 'leaseSuspendedCutOff', guard: 'NO_ENTRY_WATCH', without: 'the end of an entry\'s sessions after a suspension' },
+  { file: LEASE, budget: 'leaseSessions', guard: 'NO_SESSION_FENCE', without: 'the rule that frames of an earlier session are not read once a new one has begun' },
+  { file: LEASE, budget: 'leaseSessions', guard: 'NO_START_AFTER_LIST', without: 'sending starts only after the agent\'s list was received' },
+  { file: LEASE, budget: 'leaseSessions', guard: 'NO_OUTDATED_HELLO', without: 'the rejection of an earlier session that opens after a later one' },
+  { file: LEASE, budget: 'leaseSessions', guard: 'NO_UNANSWERED_LISTED', without: 'listing starts that the endpoint has not answered' },
+  { file: LEASE, budget: 'leaseCallerLeaves', guard: 'NO_RECONCILE', without: 'revoking, on a new session, listed runs that are not wanted' },
+  { file: LEASE, budget: 'leaseCallerLeaves', guard: 'NO_ECHO_AFTER_LIST', without: 'echoing timestamps only after the agent\'s list was received' },
+  { file: LEASE, budget: 'leaseCallerLeaves', guard: 'NO_REVOKE', without: 'the revoke on the session that is open when the caller leaves' },
+  { file: LEASE, budget: 'leaseCallerLeaves', guard: 'NO_REVOKE_ORDER', without: 'revokes and echoes on one stream' },
+  { file: LEASE, budget: 'leaseCallerLeaves', guard: 'NO_PROMPT_LEAVE', without: 'learning at once that the caller has left' },
   { file: HAND_ON, budget: 'handOn', guard: 'NO_HOLD_BACK', without: 'limiting echoes to agents that run jobs of another entry' },
   { file: HAND_ON, budget: 'handOn', guard: 'NO_START_BOUND', without: 'the rule that such a start goes only to agents to which no later timestamp was echoed' },
   { file: HAND_ON, budget: 'handOn', guard: 'NO_START_CHECK', without: 'the agent\'s check of the entry lease before such a start' },
