A hello that is read after its session was closed opens none

An entry would take an agent for connected whose connection had timed out or was reset before its hello was read, and start tasks there in vain, until the agent dialled again or the proof of time had passed.

Cause: the end of a session is reported to the dispatcher once, if an agent is known by then; a hello read later opened a session that nothing ends.

Evidence: createSessions.test.ts, 'a hello that is read after its session was closed', failed before, as the agent was opened. Shown with the session's service alone; not seen on a real connection.

A hello on a closed session is dropped; the agent notices the end and dials again.

--- a/packages/sessions/src/createSessions.test.ts
+++ b/packages/sessions/src/createSessions.test.ts
@@ -104,3 +104,40 @@
     await end()
   })
 })
+
+describe('a hello that is read after its session was closed', () => {
+  // The entry would take the agent for connected, and send starts that nobody receives.
+  it('opens no session', async () => {
+    const aborting = new AbortController()
+    let sendHello = (): void => {}
+    const helloSent = new Promise<void>((resolve) => { sendHello = resolve })
+    async function * introduceLate (): AsyncGenerator<AgentFrame> {
+      await helloSent
+      yield * introduce()
+    }
+    const opened: string[] = []
+    const { service } = createSessions({
+      dispatcher: {
+        isOutdated: () => false,
+        open: (hello) => {
+          opened.push(hello.agentId)
+          return hello
+        },
+        closed: () => {},
+        onFrame: () => {}
+      },
+      observe: { read: () => {}, sent: () => {} },
+      entryId: 'e',
+      incarnation: 'e-1',
+      keepAlive: { busy: TIMES, idle: TIMES },
+      entries: () => []
+    })
+    const frames = (service.open(introduceLate(), { signal: aborting.signal } as HandlerContext) as AsyncIterable<EntryFrame>)[Symbol.asyncIterator]()
+    await frames.next()
+    aborting.abort()
+    expect((await frames.next()).done).toBe(true)
+    sendHello()
+    await new Promise((resolve) => setImmediate(resolve))
+    expect(opened).toEqual([])
+  })
+})
--- a/packages/sessions/src/createSessions.ts
+++ b/packages/sessions/src/createSessions.ts
@@ -147,6 +147,8 @@
         onReceived()
         observe.read(frame)
         if (frame.hello !== undefined) {
+          // Nothing that is sent on this session reaches the agent, and its end would not be noticed again.
+          if (session.isClosed) return
           // The hello was delayed, and what it says the agent has is from before the present session or process.
           if (dispatcher.isOutdated(frame.hello, frame.stampMs, session.welcomedAt)) {
             log('hello_outdated', { agent: frame.hello.agentId })
