--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -14,7 +14,7 @@
 import type { LeasedFleet } from './leasedFleet.js'
 import { reconcileRuns } from './reconcileRuns.js'
 import type { ReconciledRuns } from './reconcileRuns.js'
-import { terminationBoundMs } from './times.js'
+import { RunTerminations } from './runTerminations.js'
 import type { LeaseTimes } from './times.js'
 
 /** Events of an entry's sessions with agents, for logs and metrics. */
@@ -57,8 +57,7 @@
  * to them, and determines when runs that were sent to an agent are terminated.
  */
 export class LeasedSessions implements SessionDispatcher<LeasedAgent> {
-  /** Agent processes that were replaced by a later one, until their runs are confirmed terminated. */
-  private readonly replacedAgents = new Set<LeasedAgent>()
+  private readonly terminations: RunTerminations
   private readonly config: ConfigExchange
   private readonly evacuations: EvacuationExchange
   private readonly watch: SuspensionWatch
@@ -68,6 +67,13 @@
     const { clock, fleet, events } = options
     this.watch = options.watch ?? new SuspensionWatch(clock)
     this.watch.onSuspended(() => this.endSessions())
+    this.terminations = new RunTerminations({
+      times: options.times,
+      agents: () => fleet.agents.values(),
+      onSilent: (agent, silentMs) => this.onSilent(agent, silentMs),
+      onGone: (agent) => this.onGone(agent),
+      onLost: options.onLost
+    })
     this.config = new ConfigExchange({ clock, agents: () => fleet.agents.values(), onNewer: events.configSeen })
     this.evacuations = new EvacuationExchange({
       list: fleet.evacuations, agents: () => fleet.agents.values(), onChange: (origin) => this.onEvacuations(origin)
@@ -109,7 +115,7 @@
   /** Ends the runs of agents that were silent for so long that nothing of them runs. To be called a few tens of times a second. */
   sweep (now: number): void {
     this.watch.check()
-    for (const agent of [...this.options.fleet.agents.values(), ...this.replacedAgents]) this.checkLost(agent, now)
+    this.terminations.sweep(now)
     this.config.sweep(now)
   }
 
@@ -155,7 +161,7 @@
     const now = this.options.clock.now()
     this.watch.check()
     // If this process was paused, the time that has passed counts before the frames that arrived in the meantime.
-    if (agent.link === link) this.checkLost(agent, now)
+    if (agent.link === link) this.terminations.checkSilence(agent, now)
     if (agent.link !== link) return
     agent.stampMs = frame.stampMs
     agent.latestStampMs = Math.max(agent.latestStampMs, frame.stampMs)
@@ -204,8 +210,7 @@
     this.hasEndpoint = true
     fleet.onEndpointsChanged()
     fleet.serviceOf(agent.service).health.add(agent.agentId)
-    // An agent reports its endpoint only once nothing of an earlier agent process runs there.
-    for (const earlier of [...this.replacedAgents]) if (earlier.agentId === agent.agentId) this.loseRuns(earlier, REASONS.agentLost)
+    this.terminations.onEndpointReported(agent)
   }
 
   private onCapacity (agent: LeasedAgent, endpoint: EndpointState, leaving: boolean): void {
@@ -254,20 +259,17 @@
     agent.disconnect(this.options.clock.now())
     fleet.agents.delete(agent.agentId)
     fleet.healthOf(agent)?.remove(agent.agentId)
-    if (agent.sent.size > 0) this.replacedAgents.add(agent)
+    this.terminations.onReplaced(agent)
   }
 
-  private checkLost (agent: LeasedAgent, now: number): void {
-    const { times, events, fleet } = this.options
-    const silentMs = now - agent.receivedAt
-    if (silentMs < terminationBoundMs(times)) return
-    if (agent.sent.size > 0) {
-      events.agentLost(agent.agentId, Math.round(silentMs), agent.sent.size)
-      // Another echo on this session would renew the entry lease of runs that end here as terminated.
-      this.endSession(agent)
-    }
-    this.loseRuns(agent, REASONS.agentLost)
-    if (agent.link === undefined && fleet.agents.get(agent.agentId) === agent) this.removeAgent(agent)
+  private onSilent (agent: LeasedAgent, silentMs: number): void {
+    this.options.events.agentLost(agent.agentId, Math.round(silentMs), agent.sent.size)
+    // Another echo on this session would renew the entry lease of runs that end here as terminated.
+    this.endSession(agent)
+  }
+
+  private onGone (agent: LeasedAgent): void {
+    if (agent.link === undefined && this.options.fleet.agents.get(agent.agentId) === agent) this.removeAgent(agent)
   }
 
   /**
@@ -289,12 +291,4 @@
     link.close()
     this.options.events.agentChanged(agent, 'session_closed')
   }
-
-  /** Ends all runs sent to an agent process, as none of them can run any more. */
-  private loseRuns (agent: LeasedAgent, reason: Reason): void {
-    this.replacedAgents.delete(agent)
-    const runs = [...agent.sent.values()]
-    agent.sent.clear()
-    for (const sent of runs) this.options.onLost(agent, sent, reason)
-  }
 }
