A request to end a run that leaves in one frame with its start ends it

Callers whose connection broke just after they had sent a job, and who sent it to another entry 1.3 s later, could have a task of it run twice: the first run was never stopped. No session has to end for that.

Cause: messages that are ready in the same turn of the event loop leave in one frame, and more of them while the connection takes no more data. A job is sent one turn after its entry has read it, so that a reset that is read in that turn puts the request to end the job's runs into the frame that carries their starts; turns are long at a weak entry under load. The agent handled the requests of a frame before the starts, found nothing to end, and began the run. Nothing asked again, as the entry had asked, and the session lived on.

A request names the last start that it applies to; starts are numbered over the entry's process. A start that is covered by a request of its own frame is refused as not run; later starts of the same task in the same frame go on, which the order of the lists could not tell.

--- a/packages/coordination/src/leased/leasedDispatcher.ts
+++ b/packages/coordination/src/leased/leasedDispatcher.ts
@@ -224,10 +224,9 @@
 
   private revoke (agent: LeasedAgent, job: LeasedJob, tasks: number[], reason: Reason): void {
     const { workspace, id } = job
+    const revoke = create(RevokeSchema, { workspace, submission: id, tasks, lastStart: this.sender.lastStart })
     this.options.events.revoked(job, agent, tasks, reason)
-    agent.link?.add((frame) => {
-      frame.revokes.push(create(RevokeSchema, { workspace, submission: id, tasks }))
-    })
+    agent.link?.add((frame) => { frame.revokes.push(revoke) })
   }
 
   private finish (job: LeasedJob, end: LeasedJobEnd): void {
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -11,6 +11,7 @@
 import { HostSessions } from './hostSessions.js'
 import { HostTasks } from './hostTasks.js'
 import type { OwnedTask } from './hostTasks.js'
+import { isRevoked } from './isRevoked.js'
 import type { AnnouncedIncarnation, LeasedHostOptions } from './leasedHostOptions.js'
 import { SpeedRecord } from './speedRecord.js'
 import { verificationMs } from './times.js'
@@ -162,7 +163,7 @@
     for (const revoke of frame.revokes) this.onRevoke(incarnation, revoke)
     for (const start of frame.leasedStarts) {
       session.startsSeen += start.tasks.length
-      this.onStart(incarnation, start)
+      this.onStart(incarnation, start, frame.revokes)
     }
     if (frame.leasedStarts.length > 0) this.offers.onStarts(incarnation)
     this.offers.offerFreeCapacity()
@@ -224,11 +225,12 @@
     return this.tasks.isRunningFor((owner) => this.entryLeases.isUnverified(owner))
   }
 
-  private onStart (owner: string, { workspace, submission, payload, tasks, need, waitMs, expectedMs }: LeasedStart): void {
+  /** @param revokes - of the same frame: those of them that were added after the start apply to it as well */
+  private onStart (owner: string, { workspace, submission, payload, tasks, need, waitMs, expectedMs }: LeasedStart, revokes: Revoke[]): void {
     const expiresAt = this.options.clock.now() + waitMs
     for (const { index, attempt } of tasks) {
       const key = create(TaskKeySchema, { workspace, submission, task: index, attempt })
-      const refusal = this.refusalOf(owner, key)
+      const refusal = revokes.some((revoke) => isRevoked(revoke, key)) ? REASONS.revoked : this.refusalOf(owner, key)
       if (refusal === undefined) this.tasks.waiting.add({ owner, key, payload, need: need ?? NO_CAPACITY, expiresAt, expectedMs })
       else this.report(owner, key, TASK_OUTCOMES.notStarted, refusal)
     }
@@ -257,12 +259,12 @@
     this.tasks.refuse(({ expiresAt }) => expiresAt <= now, REASONS.noSlot)
   }
 
-  private onRevoke (incarnation: string, { submission, tasks }: Revoke): void {
-    const matches = ({ owner, key }: OwnedTask): boolean =>
-      owner === incarnation && key.submission === submission && (tasks.length === 0 || tasks.includes(key.task))
+  private onRevoke (incarnation: string, revoke: Revoke): void {
+    const { submission, tasks, lastStart } = revoke
+    const matches = ({ owner, key }: OwnedTask): boolean => owner === incarnation && isRevoked(revoke, key)
     const refused = this.tasks.refuse(matches, REASONS.revoked)
     const stopped = this.tasks.stop(this.endpoint.supervisor, matches, REASONS.revoked)
-    this.options.log('revoke_received', { job: submission, tasks: tasks.join(','), entry: incarnation, refused, stopped })
+    this.options.log('revoke_received', { job: submission, tasks: tasks.join(','), lastStart, entry: incarnation, refused, stopped })
   }
 
   private report (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs = 0): void {
--- a/packages/coordination/src/leased/leasedSender.ts
+++ b/packages/coordination/src/leased/leasedSender.ts
@@ -34,11 +34,15 @@
 
 /** Sends waiting tasks to agents with free capacity, in the order of their queue, and requests capacity for the rest. */
 export class LeasedSender {
-  /** Number of the latest start sent by this process. */
   private startNumber = 0
 
   constructor (private readonly options: LeasedSenderOptions) {}
 
+  /** Number of the latest start sent by this process; 0 before the first. */
+  get lastStart (): number {
+    return this.startNumber
+  }
+
   /** Schedules the sending of a service's waiting jobs; calls before it runs are merged into one. */
   schedule (name: string): void {
     const { fleet, defer } = this.options
@@ -128,7 +132,7 @@
 
   /** Numbers are 32 bits wide on the wire, and begin anew after the highest one: outcomes of starts that long ago have arrived. */
   private nextStartNumber (): number {
-    this.startNumber = (this.startNumber + 1) >>> 0
+    this.startNumber = (this.startNumber + 1) >>> 0 || 1
     return this.startNumber
   }
 }
--- a/packages/coordination/src/leased/leasedSessions.ts
+++ b/packages/coordination/src/leased/leasedSessions.ts
@@ -233,8 +233,9 @@
     const runs = reconcileRuns(agent.sent, held, results)
     this.options.events.resumed(agent, held.length, runs)
     agent.isResumed = true
-    for (const { workspace, submission, task } of runs.unwanted) {
-      link.add((frame) => { frame.revokes.push(create(RevokeSchema, { workspace, submission, tasks: [task] })) })
+    for (const { workspace, submission, task, attempt } of runs.unwanted) {
+      const revoke = create(RevokeSchema, { workspace, submission, tasks: [task], lastStart: attempt })
+      link.add((frame) => { frame.revokes.push(revoke) })
     }
     for (const key of runs.lostStarts) {
       const sent = agent.sent.get(key)!
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -34,6 +34,8 @@
   entry: number
   /** Frames and the closing of connections are delayed until the link is restored. */
   isCut: boolean
+  /** The connection takes no more frames of the entry: they stay in its outbox. */
+  isBlocked?: boolean
   /** Closes the connection; unset while there is none. */
   close: (() => void) | undefined
   lastSeenAt: number
@@ -85,6 +87,10 @@
   movedRunCount = 0
   /** Called just before an entry asks an agent to end such a run. */
   onMoved: () => void = () => {}
+  /** Changes to frames are merged as an outbox merges them: those that are ready in the same turn go into one frame. */
+  mergesFrames = false
+  /** Called when an entry has put a start into a frame. */
+  onSent: () => void = () => {}
   /** Number of frames that entries sent. */
   entryFrameCount = 0
   private readonly pairs: Pair[] = []
@@ -145,6 +151,16 @@
     for (const pair of this.pairs) if (pair.entry === entry) this.drop(pair)
   }
 
+  /** Blocks the frames of an entry to an agent in its outbox, or lets them go. */
+  block (agent: number, entry: number, isBlocked: boolean): void {
+    for (const pair of this.pairs) if (pair.agent === agent && pair.entry === entry) pair.isBlocked = isBlocked
+  }
+
+  /** Resets the connection of one agent to an entry. */
+  dropOne (agent: number, entry: number): void {
+    for (const pair of this.pairs) if (pair.agent === agent && pair.entry === entry) this.drop(pair)
+  }
+
   /** Makes the connection of an agent to an entry silent; after `replacedAfterMs` the agent has replaced it. */
   async silence (agent: number, entry: number, replacedAfterMs: number): Promise<void> {
     this.cut(agent, entry, true)
@@ -218,7 +234,7 @@
       random: seededRandom(index),
       zone: ZONE,
       times: this.times,
-      events: { ...NO_EVENTS, agentChanged: (agent, change) => this.onAgentChanged(agent, change), moved: () => this.countMovedRun(), configSeen: (_version, document) => this.configDocuments.push({ entry: index, text: Buffer.from(document).toString() }) },
+      events: { ...NO_EVENTS, sent: () => this.onSent(), agentChanged: (agent, change) => this.onAgentChanged(agent, change), moved: () => this.countMovedRun(), configSeen: (_version, document) => this.configDocuments.push({ entry: index, text: Buffer.from(document).toString() }) },
       maxEjectedShare: 0.4,
       ejectionBackoff: () => 1000,
       defer: (fn) => { setImmediate(() => process.run(fn)) }
@@ -293,25 +309,49 @@
       if (pair.isCut) delayed.push(() => process.run(fn))
       else setImmediate(() => process.run(fn))
     }
+    let pendingToEntry: AgentFrame | undefined
     const toEntry = (fill: (frame: AgentFrame) => void): void => {
       if (!isOpen.agent) return
-      const frame = create(AgentFrameSchema)
-      fill(frame)
+      if (pendingToEntry !== undefined) return fill(pendingToEntry)
+      pendingToEntry = create(AgentFrameSchema)
+      fill(pendingToEntry)
+      if (this.mergesFrames) setImmediate(() => agent.process.run(flushToEntry))
+      else flushToEntry()
+    }
+    const flushToEntry = (): void => {
+      const frame = pendingToEntry
+      pendingToEntry = undefined
+      if (frame === undefined || !agent.isUp) return
       agent.host.fillFrame(entry.incarnation, frame)
+      if (!isOpen.agent) return
       deliver(entry.process, () => {
         if (!isOpen.entry || !entry.isUp) return
         receivedAt.entry = entryNow()
         entry.dispatcher.sessions.onFrame(handle, link, frame)
       })
     }
+    // Like the outbox of a session: changes that are ready in the same turn of the event loop go into one frame.
+    let pendingToAgent: EntryFrame | undefined
     const toAgent = (fill: (frame: EntryFrame) => void): void => {
       if (!isOpen.entry) return
-      const frame = create(EntryFrameSchema)
-      fill(frame)
+      if (pendingToAgent !== undefined) return fill(pendingToAgent)
+      pendingToAgent = create(EntryFrameSchema)
+      fill(pendingToAgent)
+      if (this.mergesFrames) setImmediate(() => entry.process.run(flushToAgent))
+      else flushToAgent()
+    }
+    const flushToAgent = (): void => {
+      if (pair.isBlocked === true && isOpen.entry) {
+        entry.process.after(STEP_MS, flushToAgent)
+        return
+      }
+      const frame = pendingToAgent
+      pendingToAgent = undefined
+      if (frame === undefined || !entry.isUp) return
       frame.ackedSeq = acknowledgedSeq
       sentToAgentAt = entryNow()
       this.entryFrameCount++
-      entry.dispatcher.sessions.fillFrame(handle, frame)
+      if (isOpen.entry) entry.dispatcher.sessions.fillFrame(handle, frame)
       deliver(agent.process, () => {
         if (!isOpen.agent || !agent.isUp) return
         receivedAt.agent = agentNow()
