--- a/packages/standins/src/cluster/relay.ts
+++ b/packages/standins/src/cluster/relay.ts
@@ -10,6 +10,8 @@
   setTarget: (address: string) => void
   /** Closes all connections; new ones are forwarded. */
   cut: () => void
+  /** Resets all connections, so that what is in transit is lost; new ones are forwarded. */
+  reset: () => void
   /** Closes all connections, and closes each new one as soon as it is accepted, until `heal`. */
   sever: () => void
   /** Closes all connections and stops listening, so that new ones are refused as if the process had exited, until `heal`. */
@@ -116,6 +118,7 @@
     address: `${host}:${port}`,
     setTarget: (address) => { targetAddress = address },
     cut,
+    reset: () => { for (const socket of [...sockets]) socket.resetAndDestroy() },
     sever: () => { isSevered = true; cut() },
     refuse: () => { server.close(); cut() },
     freeze: () => {
