Tests: a crashed endpoint restarts once, and carries nothing out

The property "a task is started fewer than three times ..., and no runs overlap" (endpointCrashes.test.ts) failed with overlaps that no agent or entry caused: the fixture made them.

- crashEndpoint, on an endpoint that a task had crashed before, scheduled a second restart.
It announced another incarnation while tasks ran in the one that the first restart had begun, and did not end them.
- A call during which a crash fell due was carried out all the same: the run was recorded in an endpoint that was down, and could crash it again.

The checks are as strict as before: an incarnation that a test replaces has crashed, as the endpoint contract demands.

--- a/packages/coordination/tests/leased/fakeEndpoint.ts
+++ b/packages/coordination/tests/leased/fakeEndpoint.ts
@@ -137,6 +137,8 @@
 
   private async call<T> (name: 'start' | 'stop' | 'poll', act: () => T, unanswered: T): Promise<T> {
     this.calls[name]++
+    // What is due happens before the call arrives: an endpoint that crashes by then carries nothing out.
+    this.tick()
     if (this.isDown) return this.callAfterCrash(name, unanswered)
     const fault = this.fault(name)
     if (fault === 'none') return act()
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -171,8 +171,10 @@
 
   /** Crashes the endpoint of an agent; the next incarnation is announced after `restartAfterMs`. */
   crashEndpoint (index: number, restartAfterMs: number): void {
-    this.agents[index]!.endpoint.crash()
-    this.clock.after(restartAfterMs, () => this.beginIncarnation(index))
+    const { endpoint } = this.agents[index]!
+    endpoint.crash()
+    // If a task had crashed it before, its restart is due earlier, and must not be followed by another one while tasks run.
+    this.clock.after(restartAfterMs, () => { if (this.agents[index]!.endpoint === endpoint) this.beginIncarnation(index) })
   }
 
   /** From now on tasks crash the endpoints that start them, as `crashAfterMs` says; each endpoint restarts after `restartAfterMs`. */
