No lease is renewed while a stop is not answered

What callers saw: a task could run twice at the same time. A run that had to end (its caller had left, or its entry had died) went on until its own end, if the endpoint answered polls but no stops; a resubmission started beside it.

Cause: the run lease is shared by everything at an endpoint. Polls and starts went on renewing it for the other runs, and so for the run to be stopped, which then outlasted the bound that entries and callers rely on.

Why it works: from the moment a run must end until its stop is answered, polls carry no lease, and starts carry what remains of the last one, so nothing prolongs the run. Starts need no delay for that during a normal stop; they are held once less than half of the lease remains. If the stop stays unanswered, everything there ends with the lease; a poll sent after that confirms it for each run that it does not list, also for one whose start was never answered, so that the endpoint is usable again.

--- a/packages/coordination/src/leased/endpointOrders.ts
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -5,27 +5,27 @@
 import { taskNameOf } from './inFlightRun.js'
 import type { AttemptOutcome, InFlightRun } from './inFlightRun.js'
 import { RunNumbers } from './runNumbers.js'
-import type { LeaseTimes } from './times.js'
 import type { LeasedEndpoint } from './types.js'
 
 /** What orders to an endpoint need. */
 export interface EndpointOrdersOptions {
   clock: Clock
   endpoint: LeasedEndpoint
-  times: LeaseTimes
   responsiveness: EndpointResponsiveness
   /** True while the run is not confirmed terminated. */
   isInFlight: (run: InFlightRun) => boolean
   /** True once the endpoint's incarnation has ended. */
   isEnded: () => boolean
-  /** Stops runs without an entry lease; called before a start is repeated, as a start renews the run lease. */
+  /** Stops runs without an entry lease; called before a start is repeated, as a start may renew the run lease. */
   beforeRenewal: () => void
   /** False while nothing may be started. */
   mayStart: () => boolean
-  /** A start is about to be sent, which renews the run lease. */
-  onRenewed: () => void
+  /** A start is about to be sent. Returns the length of the run lease that it carries, in ms. */
+  leaseForStart: () => number
   /** The order's outcome is known: a poll sent from now on that does not list the run confirms that it has terminated. */
   onResolved: (run: InFlightRun) => void
+  /** The endpoint has confirmed that it stops the run. */
+  onStopAnswered: (run: InFlightRun) => void
   onTerminated: (run: InFlightRun, outcome: AttemptOutcome) => void
   /** Another incarnation of the endpoint has answered. */
   onGone: () => void
@@ -58,13 +58,12 @@
    * the run, and no other starts it again, however late it arrives.
    */
   async start (run: InFlightRun): Promise<void> {
-    const { endpoint, times, responsiveness, isInFlight, onRenewed, onGone } = this.options
+    const { endpoint, responsiveness, isInFlight, leaseForStart, onGone } = this.options
     let usedNumbers = 0
     let unanswered = 0
     run.run = this.runNumbers.next(taskNameOf(run), 0)
     while (true) {
-      onRenewed()
-      const outcome = await endpoint.start({ ...run, runLeaseMs: times.runLeaseMs })
+      const outcome = await endpoint.start({ ...run, runLeaseMs: leaseForStart() })
       if (!isInFlight(run)) return
       if (outcome.type === 'gone') return onGone()
       // After an unanswered order, a used number means that the run has begun and ended.
@@ -86,11 +85,12 @@
 
   /** Orders a stop until it is answered: before that, a run whose start was not answered may still begin. */
   async stop (run: InFlightRun): Promise<void> {
-    const { clock, endpoint, responsiveness, isInFlight, isEnded, onResolved, poll } = this.options
+    const { clock, endpoint, responsiveness, isInFlight, isEnded, onResolved, onStopAnswered, poll } = this.options
     const isUnresolved = (): boolean => run.resolvedAtPoll === undefined
     for (let tries = 1; (isInFlight(run) || isUnresolved()) && !isEnded(); tries++) {
       if (await endpoint.stop(run)) {
         onResolved(run)
+        onStopAnswered(run)
         // The endpoint lists no end for a run that never began, so only a poll can confirm it.
         if (run.stopReason === REASONS.orderUnanswered) poll()
         return
--- a/packages/coordination/src/leased/endpointSupervisor.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.ts
@@ -7,14 +7,14 @@
 import { FreeCapacity } from './freeCapacity.js'
 import { taskNameOf } from './inFlightRun.js'
 import type { AttemptOutcome, InFlightRun } from './inFlightRun.js'
-import { runExpiryMs } from './times.js'
+import { RunLease } from './runLease.js'
 import { RUN_ENDS } from './types.js'
 import type { ListedEnd, PollOutcome, RunRef } from './types.js'
 
 /** Pause between polls that check whether the runs of an earlier agent have terminated. */
 const TAKEOVER_PAUSE_MS = 25
-/** Longest wait of a poll without renewal under an unverified entry lease: a renewal is due as soon as the lease is verified. */
-const UNVERIFIED_WAIT_MS = 25
+/** Longest wait of a poll that does not renew the run lease: a renewal is due as soon as the entry lease is verified, or the stop answered, that prevents it. */
+const UNRENEWED_WAIT_MS = 25
 /** How often an immediate poll is sent if it is not answered; after that, the next regular poll lists the same. */
 const MAX_POLL_TRIES = 3
 
@@ -35,7 +35,7 @@
   private pollCount = 0
   /** Number of the newest poll whose answer was read. */
   private lastAnsweredPoll = 0
-  private leaseRenewedAt = -Infinity
+  private readonly lease: RunLease
   private readonly responsiveness: EndpointResponsiveness
   private isPolling = false
   private mustPollAgain = false
@@ -47,15 +47,17 @@
 
   constructor (private readonly options: EndpointSupervisorOptions) {
     this.remaining = new FreeCapacity(options.capacity, this.inFlight)
+    this.lease = new RunLease({ ...options, inFlight: this.inFlight })
     this.responsiveness = new EndpointResponsiveness(options.clock, options.pollWaitMs)
     this.orders = new EndpointOrders({
       ...options,
       responsiveness: this.responsiveness,
       isInFlight: (run) => !this.isEnded && this.isInFlight(run),
       isEnded: () => this.isEnded,
-      mayStart: () => options.mayStart() && !this.remaining.isOvercommitted,
-      onRenewed: () => { this.leaseRenewedAt = options.clock.now() },
+      mayStart: () => options.mayStart() && !this.remaining.isOvercommitted && !this.lease.isHoldingStarts,
+      leaseForStart: () => this.lease.leaseForStart(),
       onResolved: (run) => { run.resolvedAtPoll = this.pollCount },
+      onStopAnswered: (run) => { run.isStopAnswered = true },
       onTerminated: (run, outcome) => this.onTerminated(run, outcome),
       onGone: () => this.onGone(),
       poll: () => { void this.pollNow() }
@@ -73,9 +75,10 @@
     return this.isReady && !this.isEnded
   }
 
-  /** Resources for further starts; zero while the endpoint accepts no starts or is unresponsive. */
+  /** Resources for further starts; zero while the endpoint accepts no starts, is unresponsive, or leaves a stop unanswered for long. */
   get freeCapacity (): Resources {
-    return this.acceptsStarts && !this.responsiveness.isUnresponsive ? this.remaining.free : { cpuMilli: 0, memoryMb: 0 }
+    const isOpen = this.acceptsStarts && !this.responsiveness.isUnresponsive && !this.lease.isHoldingStarts
+    return isOpen ? this.remaining.free : { cpuMilli: 0, memoryMb: 0 }
   }
 
   /** The run of this task that is not confirmed terminated, if there is one. */
@@ -87,7 +90,7 @@
   start (submission: string, index: number, payload: string, need: Resources, onTerminated: (outcome: AttemptOutcome) => void): InFlightRun {
     const ref = { submission, index, run: 0 }
     const run: InFlightRun = {
-      ...ref, payload, need, stopReason: undefined, resolvedAtPoll: undefined, startedAt: this.options.clock.now(), onTerminated
+      ...ref, payload, need, stopReason: undefined, isStopAnswered: false, resolvedAtPoll: undefined, startedAt: this.options.clock.now(), onTerminated
     }
     this.inFlight.set(taskNameOf(ref), run)
     void this.orders.start(run)
@@ -119,10 +122,11 @@
     for (let unanswered = 0; this.mustPollAgain && unanswered < MAX_POLL_TRIES && !this.isEnded;) {
       this.mustPollAgain = false
       const poll = ++this.pollCount
+      const sentAt = this.options.clock.now()
       const outcome = await this.options.endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0 })
       if (this.isEnded) break
       if (outcome.type === 'gone') this.onGone()
-      else if (outcome.type === 'listed') this.reconcile(poll, outcome)
+      else if (outcome.type === 'listed') this.reconcile(poll, sentAt, outcome)
       else {
         this.responsiveness.onCallLost()
         this.mustPollAgain = true
@@ -167,53 +171,49 @@
   }
 
   private async pollOnce (): Promise<void> {
-    const { clock, endpoint, times, beforeRenewal } = this.options
+    const { clock, endpoint, beforeRenewal } = this.options
     beforeRenewal()
     const poll = ++this.pollCount
     const sentAt = clock.now()
     const { isUnresponsive, pollWaitMs } = this.responsiveness
     const isUnverified = this.options.isUnverified?.() === true
-    const runLeaseMs = isUnresponsive || isUnverified ? undefined : times.runLeaseMs
-    if (runLeaseMs !== undefined) this.leaseRenewedAt = sentAt
-    const waitMs = isUnverified ? Math.min(UNVERIFIED_WAIT_MS, pollWaitMs) : pollWaitMs
+    const mayRenew = !isUnverified && !this.lease.isStopPending
+    const runLeaseMs = isUnresponsive || !mayRenew ? undefined : this.lease.renew()
+    const waitMs = mayRenew ? pollWaitMs : Math.min(UNRENEWED_WAIT_MS, pollWaitMs)
     const outcome = await endpoint.poll({ runLeaseMs, lastSeen: this.lastSeen, waitMs })
     if (this.isEnded) return
     if (outcome.type === 'gone') return this.onGone()
     if (outcome.type === 'unknown') this.onPollUnanswered(sentAt, outcome.isRefused === true)
-    else this.onPollAnswered(poll, outcome)
-    await clock.sleep(Math.min(this.responsiveness.pauseMs, this.untilExpiryMs))
+    else this.onPollAnswered(poll, sentAt, outcome)
+    await clock.sleep(Math.min(this.responsiveness.pauseMs, this.lease.untilExpiryMs))
   }
 
-  /** Time in ms until all runs in flight have terminated if the run lease is not renewed again; Infinity if there are none or that time has passed. */
-  private get untilExpiryMs (): number {
-    const remainingMs = this.leaseRenewedAt + runExpiryMs(this.options.times) - this.options.clock.now()
-    return this.inFlight.size > 0 && remainingMs > 0 ? remainingMs : Infinity
-  }
-
-  private onPollAnswered (poll: number, outcome: PollOutcome & { type: 'listed' }): void {
+  private onPollAnswered (poll: number, sentAt: number, outcome: PollOutcome & { type: 'listed' }): void {
     const wasUnresponsive = this.responsiveness.isUnresponsive
     this.responsiveness.onPollAnswered()
-    this.reconcile(poll, outcome)
+    this.reconcile(poll, sentAt, outcome)
     if (wasUnresponsive) this.options.onCapacityFreed()
   }
 
   private onPollUnanswered (sentAt: number, isRefused: boolean): void {
-    const { clock, times, log, onCapacityFreed, endReason } = this.options
+    const { clock, log, onCapacityFreed, endReason } = this.options
     if (this.responsiveness.onPollUnanswered(sentAt, isRefused)) {
       log('endpoint_silent', { tasks: this.inFlight.size, connectionRefused: isRefused })
       onCapacityFreed()
     }
-    if (!this.responsiveness.isUnresponsive || clock.now() - this.leaseRenewedAt < runExpiryMs(times)) return
+    if (!this.responsiveness.isUnresponsive || !this.lease.hasExpiredAt(clock.now())) return
     const reason = this.responsiveness.isRefusingConnections ? endReason() : REASONS.endpointReset
     for (const run of [...this.inFlight.values()]) this.onTerminated(run, { type: 'lost', reason })
   }
 
   /** Confirms the termination of runs that the answer lists as ended or does not list, and stops listed runs that are unknown. */
-  private reconcile (poll: number, { running, ended }: PollOutcome & { type: 'listed' }): void {
+  private reconcile (poll: number, sentAt: number, { running, ended }: PollOutcome & { type: 'listed' }): void {
     for (const end of ended) this.onListedEnd(end)
     const listed = new Set(running.map(({ run, ...ref }) => `${taskNameOf(ref)}#${run}`))
+    // An order without an answer can't be carried out any more either, as the endpoint refuses what comes after the lease that it carries.
+    const hasExpired = this.lease.hasExpiredAt(sentAt)
     for (const run of [...this.inFlight.values()]) {
-      const isResolved = run.resolvedAtPoll !== undefined && poll > run.resolvedAtPoll
+      const isResolved = hasExpired || (run.resolvedAtPoll !== undefined && poll > run.resolvedAtPoll)
       if (!isResolved || listed.has(`${taskNameOf(run)}#${run.run}`)) continue
       const reason = run.stopReason ?? REASONS.leaseExpired
       this.onTerminated(run, reason === REASONS.orderUnanswered ? { type: 'not_started', reason } : { type: 'lost', reason })
--- a/packages/coordination/src/leased/inFlightRun.ts
+++ b/packages/coordination/src/leased/inFlightRun.ts
@@ -16,6 +16,8 @@
   need: Resources
   /** Set once the run is to be stopped; it counts against the free capacity until it is confirmed terminated. */
   stopReason: Reason | undefined
+  /** The endpoint has confirmed that it stops the run, which ends within the time that a stop takes. */
+  isStopAnswered: boolean
   /**
    * Number of the last poll sent before the order's outcome was known; undefined while it is unknown.
    * A later poll that does not list the run confirms that it has terminated.
