The last frame of a replaced session takes nothing from its successor

What callers saw: a job whose tasks were all done got no answer until its deadline. HostSessions.fillFrame knew the entry, not the session on which the frame leaves. If an agent's session with an entry was replaced while its last frame was pending, that frame took the results that had been reported for the successor, the configuration document, and the free capacity, which is reported only when it changes. The entry does not handle frames of a replaced session. The acknowledgement of a later result then covers those that were lost, as it names a sequence number, so that no later session repeats them.

fillFrame now gets the session's `add`, as the other methods of SessionHost do, and only the open session's frames carry what is sent once.

--- a/packages/coordination/src/leased/capacityOffers.ts
+++ b/packages/coordination/src/leased/capacityOffers.ts
@@ -28,10 +28,8 @@
     this.rotation = new OfferRotation(options.clock.now, options.offer ?? offerCapacity)
   }
 
-  /** Adds the free capacity offered to the entry to a frame, unless it was reported already. */
-  fillFrame (incarnation: string, frame: AgentFrame): void {
-    const session = this.options.sessions.get(incarnation)
-    if (session === undefined) return
+  /** Adds the free capacity offered to the entry to a frame of its open session, unless it was reported on that already. */
+  fillFrame (incarnation: string, session: LeasedSession, frame: AgentFrame): void {
     const offered = this.capacityFor(incarnation)
     const isReported = offered.cpuMilli === session.reportedCapacity.cpuMilli && offered.memoryMb === session.reportedCapacity.memoryMb &&
       session.startsSeen === session.reportedStartsSeen
--- a/packages/coordination/src/leased/configExchange.test.ts
+++ b/packages/coordination/src/leased/configExchange.test.ts
@@ -154,7 +154,7 @@
     sessions.onConfig(session, create(EntryFrameSchema, { configVersion: 2n, config: documentOf(2n) }))
     const frame = create(AgentFrameSchema)
     for (const change of changes) change(frame)
-    sessions.fillFrame('e', frame)
+    sessions.fillFrame('e', add, frame)
     expect(frame.config).toEqual(documentOf(frame.configVersion))
   })
 })
--- a/packages/coordination/src/leased/hostSessions.ts
+++ b/packages/coordination/src/leased/hostSessions.ts
@@ -160,11 +160,15 @@
     session.add(() => {})
   }
 
-  /** Fills a frame with results and the configuration as it is sent, so that a document goes with its own version. */
-  fillFrame (incarnation: string, frame: AgentFrame): void {
+  /**
+   * Fills a frame as it is sent, so that a document goes with its own version. Only the
+   * open session takes results and the document with it: an earlier one's last frame may
+   * leave after it was replaced, on a connection whose frames the entry does not handle.
+   */
+  fillFrame (incarnation: string, add: AddToFrame, frame: AgentFrame): void {
     frame.entries = this.open.size
     frame.configVersion = this.config.version
-    const session = this.open.get(incarnation)
+    const session = this.find(incarnation, add)
     if (session === undefined) return
     frame.results.push(...session.results.splice(0))
     if (!session.isConfigDue) return
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -169,13 +169,14 @@
     this.sessions.onConfig(session, frame)
   }
 
-  fillFrame (incarnation: string, frame: AgentFrame): void {
+  fillFrame (incarnation: string, add: AddToFrame, frame: AgentFrame): void {
     this.entryLeases.check()
     frame.stampMs = this.options.clock.now()
-    this.sessions.fillFrame(incarnation, frame)
-    this.evacuations.fillFrame(frame, this.sessions.open.get(incarnation)?.evacuationsVersion)
+    this.sessions.fillFrame(incarnation, add, frame)
+    const session = this.sessions.find(incarnation, add)
+    this.evacuations.fillFrame(frame, session?.evacuationsVersion)
     frame.slowness = this.speed.read(this.tasks.runs)
-    this.offers.fillFrame(incarnation, frame)
+    if (session !== undefined) this.offers.fillFrame(incarnation, session, frame)
   }
 
   /** Rejects waiting starts once the zone is evacuated, or offers free capacity again; what runs is finished either way. */
--- a/packages/coordination/src/session/types.ts
+++ b/packages/coordination/src/session/types.ts
@@ -11,8 +11,12 @@
   closeSession: (incarnation: string, add: AddToFrame) => void
   /** Handles a frame that an entry sent on an open session. */
   onFrame: (incarnation: string, add: AddToFrame, frame: EntryFrame) => void
-  /** Adds the present values that every frame carries, just before it is sent. */
-  fillFrame: (incarnation: string, frame: AgentFrame) => void
+  /**
+   * Adds the present values that every frame carries, just before it is sent on the
+   * session that was opened with this `add`. The frame of a session that is not open,
+   * or not any more, may be lost: what is sent only once must not leave with it.
+   */
+  fillFrame: (incarnation: string, add: AddToFrame, frame: AgentFrame) => void
   /** True while the agent has tasks of the entry; unset where every session counts as busy. */
   isBusyWith?: (incarnation: string) => boolean
   /** True if the entry said in its last frame that tasks wait there; unset where entries do not say. */
--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -148,7 +148,7 @@
   }
 
   /** Fills in the fields that every frame has. */
-  fillFrame (incarnation: string, frame: AgentFrame): void {
+  fillFrame (incarnation: string, add: AddToFrame, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
     frame.free = this.granter.freeSlotsFor(incarnation)
     const ends = this.sessions.takeEndsElsewhere(incarnation)
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -190,7 +190,7 @@
     const send = (add: (frame: AgentFrame) => void): void => {
       const frame = create(AgentFrameSchema)
       add(frame)
-      host.fillFrame(entry.incarnation, frame)
+      host.fillFrame(entry.incarnation, send, frame)
       if (session.open) session.toEntry.push(frame)
     }
     const link: AgentLink = {
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -85,6 +85,8 @@
   movedRunCount = 0
   /** Called just before an entry asks an agent to end such a run. */
   onMoved: () => void = () => {}
+  /** Called when a start has ended at an agent, just before the agent reports its result. */
+  onEndedStart: () => void = () => {}
   /** Number of frames that entries sent. */
   entryFrameCount = 0
   private readonly pairs: Pair[] = []
@@ -256,6 +258,7 @@
   }
 
   private countEndedStart ({ outcome, reason }: TaskResult): void {
+    this.onEndedStart()
     const cause = reason || outcome
     this.endedStartCounts.set(cause, (this.endedStartCounts.get(cause) ?? 0) + 1)
   }
@@ -297,7 +300,7 @@
       if (!isOpen.agent) return
       const frame = create(AgentFrameSchema)
       fill(frame)
-      agent.host.fillFrame(entry.incarnation, frame)
+      agent.host.fillFrame(entry.incarnation, toEntry, frame)
       deliver(entry.process, () => {
         if (!isOpen.entry || !entry.isUp) return
         receivedAt.entry = entryNow()
--- a/packages/lab/src/labSession.ts
+++ b/packages/lab/src/labSession.ts
@@ -80,7 +80,7 @@
       ...common,
       process: agent.process,
       createFrame: () => create(AgentFrameSchema),
-      fillFrame: (frame) => { if (this.agentSide.isOpen) agent.host.fillFrame(entry.incarnation, frame) },
+      fillFrame: (frame) => { if (this.agentSide.isOpen) agent.host.fillFrame(entry.incarnation, this.add, frame) },
       sizeOf: (frame) => frameBytes + toBinary(AgentFrameSchema, frame).length,
       deliver: (frame, ms, bytes) => options.deliver(ms, bytes, entry.process, () => this.onFrameAtEntry(frame))
     })
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -44,9 +44,9 @@
 const openOutbox = (): Outbox<AgentFrame> => new Outbox<AgentFrame>(() => create(AgentFrameSchema), () => yieldTurn())
 
 /** Fills in each frame only when it is sent, so that its timestamp is current. */
-async function * filledFrames (host: SessionHost, outbox: Outbox<AgentFrame>, peer: Peer, watch: SessionWatch): AsyncGenerator<AgentFrame> {
+async function * filledFrames (host: SessionHost, outbox: Outbox<AgentFrame>, peer: Peer, add: AddToFrame, watch: SessionWatch): AsyncGenerator<AgentFrame> {
   for await (const frame of outbox) {
-    host.fillFrame(peer.incarnation, frame)
+    host.fillFrame(peer.incarnation, add, frame)
     watch.onSent()
     yield frame
   }
@@ -98,7 +98,7 @@
   const connection = openConnection(address, [addToken(options.clusterToken)])
   const client = createClient(SessionService, connection.transport)
   try {
-    for await (const frame of client.open(filledFrames(host, outbox, peer, watch), { signal })) {
+    for await (const frame of client.open(filledFrames(host, outbox, peer, add, watch), { signal })) {
       watch.onReceived()
       if (frame.welcome !== undefined) {
         if (!handle.isNeeded()) break
