A job that waits for its earlier runs to terminate can be cancelled and cut

What callers saw: a job that was submitted again while runs of its earlier submission were not confirmed terminated had no state and could not be cancelled (410), and ran afterwards nonetheless. An entry that stopped did not wait for it, and did not end it when its grace time was over. Cause: such a job existed only as a promise, and cancel, stateOf, cutAll and size look at open jobs. If all its callers left, it was submitted and ended at once.

These jobs are now kept by key in a module of their own, which ends them, or submits them once the earlier runs are terminated. Further callers attach to one, as to an open job.

Evidence: three tests of resubmissions.test.ts failed before, for example "ends and does not run once 'its caller cancels it'": expected { before: { size: +0, … } } to deeply equal { before: { size: 1, … } }. Its other four tests passed before and after. All 264 tests of tests/leased and tests/handoff pass.

--- a/packages/coordination/src/leased/leasedJobs.ts
+++ b/packages/coordination/src/leased/leasedJobs.ts
@@ -3,23 +3,17 @@
 import type { Reason } from '@hazellift/protocol'
 import type { Clock } from '@hazellift/common'
 import type { JobDispatcher } from '../handoff/types.js'
+import { Callers, CALLER_GONE_MESSAGE } from './callers.js'
+import type { Attachment } from './callers.js'
 import type { LeasedJob, LeasedJobEnd, LeasedJobSpec } from './leasedJob.js'
-
-/** A caller's wait for a job. */
-export interface Attachment {
-  /** Resolves when the job ends. */
-  end: Promise<LeasedJobEnd>
-  /** To be called when the caller stops waiting. The job is cancelled when no caller remains. */
-  leave: () => void
-}
+import { ResubmittedJobs } from './resubmittedJobs.js'
 
 /** State of a job as reported to its caller. */
 export type LeasedJobState = 'queued' | 'running' | LeasedJobEnd['type']
 
 interface OpenJob {
   job: LeasedJob
-  end: Promise<LeasedJobEnd>
-  callers: number
+  callers: Callers
 }
 
 interface RecentAnswer {
@@ -31,6 +25,8 @@
 const ANSWER_WINDOW_MS = 10_000
 /** Failures that a new attempt is expected to repeat. */
 const FINAL_FAILURES: ReadonlySet<Reason> = new Set([REASONS.taskFailed, REASONS.taskCrashesEndpoints])
+const CANCELLED_MESSAGE = 'the caller cancelled the job'
+const STOP_CUT_MESSAGE = 'the entry stopped before the job ended'
 /** Largest number of answers that are remembered, to bound memory. */
 const MAX_ANSWERS = 10_000
 
@@ -42,13 +38,14 @@
  */
 export class LeasedJobs {
   private readonly open = new Map<string, OpenJob>()
+  private readonly resubmitted = new ResubmittedJobs((spec) => this.submit(spec))
   private readonly recentAnswers = new Map<string, RecentAnswer>()
 
   constructor (private readonly clock: Clock, private readonly dispatcher: JobDispatcher) {}
 
-  /** Number of open jobs. */
+  /** Number of open jobs, with those that wait until their earlier runs are confirmed terminated. */
   get size (): number {
-    return this.open.size
+    return this.open.size + this.resubmitted.size
   }
 
   /** Submits a job, or attaches to it if it is known. */
@@ -56,16 +53,17 @@
     const key = submissionKey(spec.workspace, spec.id)
     const recent = this.answerOf(key)
     if (recent !== undefined) return { end: Promise.resolve(recent), leave: () => {} }
-    const known = this.open.get(key)
-    if (known !== undefined) return this.attach(known)
+    const known = this.open.get(key)?.callers.attach() ?? this.resubmitted.attach(key)
+    if (known !== undefined) return known
     const stoppingJob = this.dispatcher.find(key)
-    if (stoppingJob !== undefined) return this.submitOnceTerminated(spec, stoppingJob)
+    if (stoppingJob !== undefined) return this.resubmitted.add(spec, stoppingJob)
     return this.begin(spec, key)
   }
 
   /** State of a job; undefined if it is not known here. */
   stateOf (workspace: string, id: string): LeasedJobState | undefined {
     const key = submissionKey(workspace, id)
+    if (this.resubmitted.has(key)) return 'queued'
     const job = this.open.has(key) ? this.dispatcher.find(key) : undefined
     if (job !== undefined) return job.mayHaveRun > 0 ? 'running' : 'queued'
     return this.answerOf(key)?.type
@@ -77,9 +75,10 @@
    * @returns false if it is not open here
    */
   cancel (workspace: string, id: string): boolean {
-    const known = this.open.get(submissionKey(workspace, id))
-    if (known === undefined) return false
-    this.dispatcher.cancel(known.job, REASONS.cancelled, 'the caller cancelled the job')
+    const key = submissionKey(workspace, id)
+    const known = this.open.get(key)
+    if (known === undefined) return this.resubmitted.end(key, REASONS.cancelled, CANCELLED_MESSAGE)
+    this.dispatcher.cancel(known.job, REASONS.cancelled, CANCELLED_MESSAGE)
     return true
   }
 
@@ -89,8 +88,10 @@
    * @returns keys of the jobs
    */
   cutAll (): string[] {
-    const keys = [...this.open.keys()]
-    for (const { job } of [...this.open.values()]) this.dispatcher.cancel(job, REASONS.stopCut, 'the entry stopped before the job ended')
+    const waitingKeys = this.resubmitted.keys
+    const keys = [...this.open.keys(), ...waitingKeys]
+    for (const { job } of [...this.open.values()]) this.dispatcher.cancel(job, REASONS.stopCut, STOP_CUT_MESSAGE)
+    for (const key of waitingKeys) this.resubmitted.end(key, REASONS.stopCut, STOP_CUT_MESSAGE)
     return keys
   }
 
@@ -102,47 +103,9 @@
       this.remember(key, value)
       resolveEnd(value)
     })
-    const open = { job, end, callers: 0 }
-    if (job.end === undefined) this.open.set(key, open)
-    return this.attach(open)
-  }
-
-  private attach (open: OpenJob): Attachment {
-    open.callers++
-    let hasLeft = false
-    return {
-      end: open.end,
-      leave: () => {
-        if (hasLeft) return
-        hasLeft = true
-        open.callers--
-        if (open.callers === 0) this.dispatcher.cancel(open.job, REASONS.callerGone, 'the caller has gone')
-      }
-    }
-  }
-
-  private submitOnceTerminated (spec: LeasedJobSpec, stoppingJob: LeasedJob): Attachment {
-    let hasLeft = false
-    let attachment: Attachment | undefined
-    const terminated = new Promise<void>((resolve) => {
-      const previous = stoppingJob.onTerminated
-      stoppingJob.onTerminated = () => {
-        previous?.()
-        resolve()
-      }
-    })
-    const end = terminated.then((): Promise<LeasedJobEnd> => {
-      attachment = this.submit(spec)
-      if (hasLeft) attachment.leave()
-      return attachment.end
-    })
-    return {
-      end,
-      leave: () => {
-        hasLeft = true
-        attachment?.leave()
-      }
-    }
+    const callers = new Callers(end, () => this.dispatcher.cancel(job, REASONS.callerGone, CALLER_GONE_MESSAGE))
+    if (job.end === undefined) this.open.set(key, { job, callers })
+    return callers.attach()
   }
 
   /** Remembers only final answers: a refused or stopped job may be submitted again. */
