The first frame of a replaced session does not reopen it at the entry

What callers saw: a task ran twice at the same time. The entry orders the sessions of an agent process by the timestamps of their first frames, and an agent fills the timestamp in as the frame leaves. If the first frame of a session was still pending when another session replaced it, it left with a later timestamp than its successor's first frame. The entry then took it for the later one, closed the session in use, and concluded from the old list of tasks that the starts sent on that were never accepted: it sent them to another agent.

Frames of a session that is not open at the agent now carry no timestamp. The entry treats such a first frame as outdated, and has nothing of it to echo.

Evidence: the new test of outdatedHellos.test.ts failed before: expected { wasOpened: true, overlaps: [ "j.0: 805-1205 and 1005" ] } to deeply equal { wasOpened: false, overlaps: [] }. It passes now, with the 619 tests of packages/coordination, packages/sessions, packages/lab and five files of platform/tests. That the order occurs with real connections is not shown: the test makes the frame wait.

--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -16,6 +16,8 @@
 import { verificationMs } from './times.js'
 
 const NO_CAPACITY: Resources = { cpuMilli: 0, memoryMb: 0 }
+/** Timestamp of a frame that entries must neither echo nor take for a recent one; older than all others. */
+const NO_STAMP = 0
 
 /**
  * An agent's side of ephemeral jobs, which end with their entry. The agent runs
@@ -171,9 +173,11 @@
 
   fillFrame (incarnation: string, add: AddToFrame, frame: AgentFrame): void {
     this.entryLeases.check()
-    frame.stampMs = this.options.clock.now()
-    this.sessions.fillFrame(incarnation, add, frame)
     const session = this.sessions.find(incarnation, add)
+    // The entry orders sessions by the timestamps of their first frames. One that leaves after its session
+    // was replaced must not count as sent after its successor's, as what it lists is from before that.
+    frame.stampMs = session === undefined ? NO_STAMP : this.options.clock.now()
+    this.sessions.fillFrame(incarnation, add, frame)
     this.evacuations.fillFrame(frame, session?.evacuationsVersion)
     frame.slowness = this.speed.read(this.tasks.runs)
     if (session !== undefined) this.offers.fillFrame(incarnation, session, frame)
--- a/packages/coordination/tests/leased/outdatedHellos.test.ts
+++ b/packages/coordination/tests/leased/outdatedHellos.test.ts
@@ -43,6 +43,21 @@
   return true
 }
 
+/** Opens a session of an agent with entry 0 whose first frame stays pending; `leave` fills it as it leaves. */
+const openPending = (network: LeasedNetwork, index: number): { leave: () => Introduction } => {
+  const { incarnation } = network.entries[0]!
+  const { host } = network.agents[index]!
+  const { frame, welcomedAt } = introduce(network, index)
+  const add = (change: (frame: AgentFrame) => void): void => change(frame)
+  host.openSession(incarnation, add)
+  return {
+    leave: () => {
+      host.fillFrame(incarnation, add, frame)
+      return { frame, welcomedAt }
+    }
+  }
+}
+
 const startNetwork = async (): Promise<LeasedNetwork> => {
   const network = new LeasedNetwork(1, 2)
   await network.advance(JOIN_MS)
@@ -140,3 +155,18 @@
     expect(network.jobEnds.get('j')).toEqual({ type: 'complete' })
   })
 })
+
+describe('the first frame of a session that leaves after another one has replaced it', () => {
+  it('opens no session at the entry: a task that was sent on the later one goes on, and does not run elsewhere at the same time', async () => {
+    const network = await startNetwork()
+    const pending = [0, 1].map((agent) => openPending(network, agent))
+    network.resetConnections(0)
+    await network.advance(REDIAL_MS)
+    network.submit(0, 'j', 1, { estimateMs: RUN_MS })
+    await network.advance(200)
+    const wasOpened = deliver(network, pending[runnerOf(network)]!.leave())
+    await network.advance(RUN_MS + REDIAL_MS)
+    expect(network.jobEnds.get('j')).toEqual({ type: 'complete' })
+    expect({ wasOpened, overlaps: overlappingRuns(network.endpoints) }).toEqual({ wasOpened: false, overlaps: [] })
+  })
+})
