The first frame of a replaced durable session opens nothing at the entry

What callers saw: a durable task started while another attempt of it ran. The cause is the same as for ephemeral jobs: the first frame of a session that was replaced while the frame was pending left with a later timestamp than that of its successor, and the entry took its list of tasks for the present one. The timestamp stays, because here the entry compares a hello with the timestamp of the last frame, not the highest one.

The fake network fills the first frame of a session once the session is open, as the transport does; it still arrives first and by itself.

Evidence: replacedSessions.test.ts failed before: expected { starts: 2, … } to deeply equal { starts: 1, violations: [] }, with "w/j/0 started while another attempt ran". It passes now, with the 554 tests of packages/coordination, packages/sessions, packages/agent and packages/entry. That the order occurs with real connections is not shown.

--- a/packages/coordination/src/tasks/taskHost.ts
+++ b/packages/coordination/src/tasks/taskHost.ts
@@ -151,6 +151,8 @@
   fillFrame (incarnation: string, add: AddToFrame, frame: AgentFrame): void {
     frame.stampMs = this.options.clock.now()
     frame.free = this.granter.freeSlotsFor(incarnation)
+    // The entry would take a first frame that leaves now for that of a later session, and what it lists is from before.
+    if (this.sessions.isReplaced(incarnation, add)) delete frame.hello
     // A replaced session's last frame, which the entry does not handle, must not take them from its successor.
     const ends = this.sessions.isLatest(incarnation, add) ? this.sessions.takeEndsElsewhere(incarnation) : undefined
     if (ends !== undefined) frame.endsElsewhere = ends
--- a/packages/coordination/src/tasks/taskSessions.ts
+++ b/packages/coordination/src/tasks/taskSessions.ts
@@ -56,6 +56,11 @@
     return this.sessions.get(incarnation)?.add === add
   }
 
+  /** True if the entry has a session, but not that of `add`. */
+  isReplaced (incarnation: string, add: AddToFrame): boolean {
+    return this.sessions.has(incarnation) && !this.isLatest(incarnation, add)
+  }
+
   /** Handles the fields of an entry's frame that concern the session: what it has acknowledged, and whether it knows of the leave. */
   onFrame (incarnation: string, { sawLeaving, ackedSeq }: EntryFrame): void {
     const session = this.sessions.get(incarnation)
--- a/packages/coordination/tests/fakeNetwork.ts
+++ b/packages/coordination/tests/fakeNetwork.ts
@@ -225,8 +225,11 @@
         if (handle !== undefined) entry.dispatcher.closed(handle, link)
       }
     }
-    send((frame) => { frame.hello = create(HelloSchema, { agentId: agent.id, incarnation: String(agent.incarnation), zone: '' }) })
     host.openSession(entry.incarnation, send)
+    // First on the link, and filled while the session is open, as in the transport.
+    const first = create(AgentFrameSchema, { hello: create(HelloSchema, { agentId: agent.id, incarnation: String(agent.incarnation), zone: '' }) })
+    host.fillFrame(entry.incarnation, send, first)
+    session.toEntry.unshift(first)
     return session
   }
 }
