--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -17,6 +17,8 @@
 import { verificationMs } from './times.js'
 
 const NO_CAPACITY: Resources = { cpuMilli: 0, memoryMb: 0 }
+/** Timestamp of a frame that entries must neither echo nor take for a recent one; older than all others. */
+const NO_STAMP = 0
 
 /**
  * An agent's side of ephemeral jobs, which end with their entry. The agent runs
@@ -170,13 +172,16 @@
     this.sessions.onConfig(session, frame)
   }
 
-  fillFrame (incarnation: string, frame: AgentFrame): void {
+  fillFrame (incarnation: string, add: AddToFrame, frame: AgentFrame): void {
     this.entryLeases.check()
-    frame.stampMs = this.options.clock.now()
-    this.sessions.fillFrame(incarnation, frame)
-    this.evacuations.fillFrame(frame, this.sessions.open.get(incarnation)?.evacuationsVersion)
+    const session = this.sessions.find(incarnation, add)
+    // The entry orders sessions by the timestamps of their first frames. One that leaves after its session
+    // was replaced must not count as sent after its successor's, as what it lists is from before that.
+    frame.stampMs = session === undefined ? NO_STAMP : this.options.clock.now()
+    this.sessions.fillFrame(incarnation, add, frame)
+    this.evacuations.fillFrame(frame, session?.evacuationsVersion)
     frame.slowness = this.speed.read(this.tasks.runs)
-    this.offers.fillFrame(incarnation, frame)
+    if (session !== undefined) this.offers.fillFrame(incarnation, session, frame)
   }
 
   /** Rejects waiting starts once the zone is evacuated, or offers free capacity again; what runs is finished either way. */
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -91,6 +91,8 @@
   mergesFrames = false
   /** Called when an entry has put a start into a frame. */
   onSent: () => void = () => {}
+  /** Called when a start has ended at an agent, just before the agent reports its result. */
+  onEndedStart: () => void = () => {}
   /** Number of frames that entries sent. */
   entryFrameCount = 0
   private readonly pairs: Pair[] = []
@@ -274,6 +276,7 @@
   }
 
   private countEndedStart ({ outcome, reason }: TaskResult): void {
+    this.onEndedStart()
     const cause = reason || outcome
     this.endedStartCounts.set(cause, (this.endedStartCounts.get(cause) ?? 0) + 1)
   }
@@ -324,7 +327,7 @@
       const frame = pendingToEntry
       pendingToEntry = undefined
       if (frame === undefined || !agent.isUp) return
-      agent.host.fillFrame(entry.incarnation, frame)
+      agent.host.fillFrame(entry.incarnation, toEntry, frame)
       if (!isOpen.agent) return
       deliver(entry.process, () => {
         if (!isOpen.entry || !entry.isUp) return
