--- a/packages/coordination/src/jobs/jobService.ts
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -10,6 +10,7 @@
 import { ClaimFollower } from './claimFollower.js'
 import { bodyHash, isSameBody } from './bodyHash.js'
 import { JobCanceller } from './jobCanceller.js'
+import type { CancelRetryReason } from './jobCanceller.js'
 import { JobStarter, STORE_RETRY_MS } from './jobStarter.js'
 import type { AdmittedJob, BeginOutcome } from './jobStarter.js'
 import { OutageLookup } from './outageLookup.js'
@@ -41,6 +42,8 @@
   answerWindowMs: number
   /** Called with the outcome of each claim: owned, existing, unavailable or taken_over. */
   observeClaim: (outcome: string) => void
+  /** Called with the reason of each repeated request to end a job. */
+  observeCancelRetry: (reason: CancelRetryReason) => void
   /** False while the table service is known not to answer. */
   isStoreUp: () => boolean
   /** False until every other entry knows this one. */
@@ -78,6 +81,7 @@
     this.starter = new JobStarter(options)
     this.canceller = new JobCanceller({
       ...options,
+      observeRetry: options.observeCancelRetry,
       replyFromMemory: (key, until) => this.replyFromMemory(key, undefined, until),
       follow: (claim, until) => this.attach(claim, undefined, until)
     })
--- a/packages/coordination/src/jobs/lostCancellations.test.ts
+++ b/packages/coordination/src/jobs/lostCancellations.test.ts
@@ -1,6 +1,8 @@
 import { create } from '@bufbuild/protobuf'
 import { fail, ok } from '@hazellift/common'
+import type { Result } from '@hazellift/common'
 import { AwaitResponseSchema, ClaimRecordSchema, EntryRecordSchema } from '@hazellift/protocol'
+import type { StoreFault } from '@hazellift/store'
 import { describe, expect, it } from 'vitest'
 import { createFakeClock } from '../../tests/fakeClock.js'
 import type { FakeClock } from '../../tests/fakeClock.js'
@@ -43,6 +45,10 @@
   /** False until entry 1 has read the row of the owner. */
   isOwnerKnown = true
   isOwnerDead = false
+  /** Number of reads of the claim that fail, after those that succeed. */
+  failedReads = 0
+  goodReads = 0
+  retries: string[] = []
 
   constructor () {
     this.entries = [0, 1].map((index) => this.createEntry(index))
@@ -72,10 +78,15 @@
     return settled.reply
   }
 
+  private readClaim (): Result<Claim, StoreFault> {
+    if (this.goodReads-- > 0 || this.failedReads-- <= 0) return ok(this.claim)
+    return fail({ type: 'unknown', message: 'no answer within 500 ms' })
+  }
+
   private createEntry (index: number): FakeEntry {
     const runs = new Set<Job>()
     const claims = {
-      read: async () => ok(this.claim),
+      read: async () => this.readClaim(),
       answerOf: async ({ record }: Claim) => ok(record.answer),
       takeOver: async () => {
         this.claim = this.claimOf(index)
@@ -108,6 +119,7 @@
       staleAfterMs: STALE_AFTER_MS,
       answerWindowMs: 600_000,
       observeClaim: () => {},
+      observeCancelRetry: (reason) => { this.retries.push(reason) },
       isStoreUp: () => true,
       mayClaim: () => true
     })
@@ -116,6 +128,9 @@
 
   private createDirectory (): EntryDirectory {
     return {
+      others: [create(EntryRecordSchema, { entryId: 'entry-0', incarnation: 'entry-0', sessionAddress: 'entry-0' })],
+      sinceReadMs: 0,
+      sinceEndMs: Infinity,
       find: (entryId: string, incarnation: string) => this.isOwnerKnown && !this.isOwnerDead ? create(EntryRecordSchema, { entryId, incarnation, sessionAddress: entryId }) : undefined,
       refresh: async () => {
         this.isOwnerKnown = true
@@ -150,6 +165,37 @@
         network.entries[0]!.runs.clear()
       }
     },
+    {
+      name: 'one read of the claim fails',
+      prepare: (network) => { network.failedReads = 1 }
+    },
+    {
+      name: 'no read of the claim succeeds',
+      prepare: (network) => { network.failedReads = Infinity }
+    },
+    {
+      name: 'no read of the claim succeeds, and the connection to the owner is reset',
+      prepare: (network) => {
+        network.failedReads = Infinity
+        network.lostCancels = 1
+      }
+    },
+    {
+      name: 'the connection to the owner is reset, and later reads of the claim fail',
+      prepare: (network) => {
+        network.goodReads = 1
+        network.failedReads = Infinity
+        network.lostCancels = 1
+      }
+    },
+    {
+      name: 'the owner has ended, and the first reads of the claim fail',
+      prepare: (network) => {
+        network.isOwnerDead = true
+        network.entries[0]!.runs.clear()
+        network.failedReads = 3
+      }
+    },
     {
       name: 'the owner ends while it is called',
       prepare: (network) => {
@@ -169,3 +215,14 @@
     expect(network.entries.map(({ runs }) => runs.size)).toEqual([0, 0])
   })
 })
+
+// A refusal to cancel must not be said to have had no effect, as the request may have reached the owner.
+it('a cancellation that reaches nobody is refused once its time has passed, and counted', async () => {
+  const network = new CancelNetwork()
+  network.failedReads = Infinity
+  network.lostCancels = Infinity
+  const reply = await network.until(network.entries[1]!.jobs.cancel('w', 'j'))
+  expect(reply).toMatchObject({ type: 'refused', reason: 'store_down', run: 'may have run' })
+  expect(network.clock.now()).toBeGreaterThanOrEqual(CLAIM_TIMEOUT_MS)
+  expect(new Set(network.retries)).toEqual(new Set(['store_down']))
+})
--- a/packages/entry/src/createEntryComponents.ts
+++ b/packages/entry/src/createEntryComponents.ts
@@ -171,6 +171,7 @@
   staleAfterMs: settings.staleAfterMs,
   answerWindowMs: settings.answerWindowMs,
   observeClaim: (outcome) => core.metrics.claims.inc({ outcome }),
+  observeCancelRetry: (reason) => core.metrics.cancelRetries.inc({ reason }),
   isStoreUp: () => core.group.isUp,
   mayClaim: () => announcement.isDone
 })
--- a/packages/entry/src/operations/entryMetrics.ts
+++ b/packages/entry/src/operations/entryMetrics.ts
@@ -6,6 +6,7 @@
   refusals: counter({ name: 'hazellift_refusals_total', help: 'Requests refused', labels: ['reason'] }),
   jobs: counter({ name: 'hazellift_jobs_total', help: 'Final answers of jobs', labels: ['state', 'reason'] }),
   claims: counter({ name: 'hazellift_claims_total', help: 'Claims by outcome', labels: ['outcome'] }),
+  cancelRetries: counter({ name: 'hazellift_cancel_retries_total', help: 'Requests to end a job that were repeated', labels: ['reason'] }),
   taskEnds: counter({ name: 'hazellift_task_ends_total', help: 'Ended starts', labels: ['outcome', 'reason'] }),
   wastedStarts: counter({ name: 'hazellift_wasted_starts_total', help: 'Starts sent again and results nobody waited for', labels: ['reason'] }),
   messages: counter({ name: 'hazellift_messages_total', help: 'Messages on sessions', labels: ['kind'] }),
--- a/tests/failures/platformFailures.test.ts
+++ b/tests/failures/platformFailures.test.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect, test } from 'vitest'
-import { clusterRunner, createTasks, getJob, startsOf, submit, submitUntilFinal } from '../support.js'
+import { cancel, clusterRunner, createTasks, getJob, startsOf, submit, submitUntilFinal } from '../support.js'
 
 const withCluster = clusterRunner({ relays: true })
 
@@ -44,6 +44,23 @@
     expect(await submit(cluster, { ...job, tasks: createTasks(4, 50) }, { entry: 1 })).toMatchObject({ status: 409 })
   }))
 
+const SHORT_IMPAIRMENTS = [
+  { name: 'reads time out', faults: { readMs: 700 }, restored: { readMs: 1 } },
+  { name: 'calls are refused', faults: { mode: 'refuse' as const }, restored: { mode: 'ok' as const } },
+  { name: 'calls hang', faults: { mode: 'hang' as const }, restored: { mode: 'ok' as const } }
+]
+
+// Guards against a cancellation that is refused, and not carried out, because one read of the table failed.
+test.each(SHORT_IMPAIRMENTS)('a job is cancelled at another entry than its owner while the table is impaired ($name)', ({ faults, restored }) =>
+  withCluster(async (cluster) => {
+    await submit(cluster, { id: 'unwanted', tasks: createTasks(6, 2000) }, { waitMs: 0 })
+    await cluster.setPlatform(faults)
+    const reply = await cancel(cluster, 'unwanted', { entry: 1 })
+    await cluster.setPlatform(restored)
+    expect(reply).toMatchObject({ status: 200, state: 'failed', reason: 'cancelled' })
+    expect(await getJob(cluster, 'unwanted')).toMatchObject({ status: 200, reason: 'cancelled' })
+  }))
+
 test('a refusal does not say "not run" if an entry was lost and the table is unreachable', () => withCluster(async (cluster) => {
   const job = { id: 'ran-before', tasks: createTasks(3, 50) }
   await submit(cluster, job, { entry: 0 })
