A wait that the caller granted outlasts a failed read of the table

What callers saw: a GET or a repeated submission with waitMs 30000 at another entry than the job's owner had 503 owner_unreachable or store_down within half a second, though the owner was alive and the job about to end.

A claim that is followed was read again after each answer of the owner, and a read that failed ended the wait; so did a failed read of a stored answer, and the first read for a job that another entry had taken over.

Change: without a newer claim the owner that is known is asked again, as it needs no table to answer; reads are repeated until the wait ends. A call that would fail again is not: such a fault is `invalid`, as is an answer object that is missing now. hadNoEffect, which nobody used, gives way to isTransient.

A wait with the owner lost and the table away now lasts as long as the caller granted.

--- a/packages/coordination/src/claims/claimStore.ts
+++ b/packages/coordination/src/claims/claimStore.ts
@@ -115,7 +115,7 @@
     if (record.answerObject === '') return ok(undefined)
     const res = await this.options.objects.get(record.answerObject)
     if (!res.ok) return res
-    if (res.value === undefined) return fail({ type: 'unknown', message: `answer object ${record.answerObject} is missing` })
+    if (res.value === undefined) return fail({ type: 'invalid', message: `answer object ${record.answerObject} is missing` })
     return ok(fromBinary(JobAnswerSchema, res.value))
   }
 
--- a/packages/coordination/src/jobs/claimFollower.ts
+++ b/packages/coordination/src/jobs/claimFollower.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@hazellift/common'
 import { PEER_ANSWERS, REASONS, RUN_STATES } from '@hazellift/protocol'
 import type { AwaitResponse, EntryRecord } from '@hazellift/protocol'
+import { isTransient } from '@hazellift/store'
+import type { StoreFault } from '@hazellift/store'
 import type { Claim } from '../claims/claimRows.js'
 import type { ClaimStore } from '../claims/claimStore.js'
 import type { EntryDirectory } from '../entries/entryDirectory.js'
@@ -37,7 +39,8 @@
 
 /** Longest wait of one call to the owner; short, so that a frozen owner is noticed while its row becomes stale. */
 const PEER_WAIT_MS = 2000
-const UNREACHABLE_RETRY_MS = 200
+/** Pause before the owner, the table or the object store is asked again, in ms. */
+const RETRY_MS = 200
 
 const ownerUnreachable = (message: string, retryAfterMs: number): FollowStep => ({
   type: 'reply',
@@ -62,15 +65,33 @@
       if (step !== undefined) return step
       const { workspace, submission } = claim.record
       const res = await this.options.claims.read(workspace, submission)
-      if (!res.ok) return ownerUnreachable(`the table does not answer: ${res.err.message}`, this.options.staleAfterMs)
+      // Without a newer claim, the owner that is known is asked again: it needs no table to answer.
+      if (!res.ok) {
+        if (this.isOver(res.err, until)) return ownerUnreachable(`the table does not answer: ${res.err.message}`, this.options.staleAfterMs)
+        continue
+      }
       if (res.value === undefined) return { type: 'absent' }
       current = res.value
     }
   }
 
+  /** Reads a claim, again and again while the table does not answer, until the wait ends. */
+  async read (workspace: string, submission: string, until: number): ReturnType<ClaimStore['read']> {
+    while (true) {
+      const res = await this.options.claims.read(workspace, submission)
+      if (res.ok || this.isOver(res.err, until)) return res
+      await this.options.clock.sleep(RETRY_MS)
+    }
+  }
+
+  /** True if a failed call is not repeated: the wait has ended, or the call would fail again. */
+  private isOver (fault: StoreFault, until: number): boolean {
+    return !isTransient(fault) || this.options.clock.now() >= until
+  }
+
   private async step (claim: Claim, until: number): Promise<FollowStep | undefined> {
     const stored = await this.options.claims.answerOf(claim)
-    if (!stored.ok) return ownerUnreachable(`the answer cannot be read: ${stored.err.message}`, this.options.staleAfterMs)
+    if (!stored.ok) return this.onAnswerUnreadable(stored.err, until)
     if (stored.value !== undefined) return { type: 'reply', reply: { type: 'answer', answer: stored.value } }
     const { ownerEntry, ownerIncarnation } = claim.record
     if (ownerIncarnation === this.options.incarnation) return this.ownStep(claim)
@@ -79,6 +100,12 @@
     return this.waitAtOwner(owner, claim, until)
   }
 
+  private async onAnswerUnreadable (fault: StoreFault, until: number): Promise<FollowStep | undefined> {
+    if (this.isOver(fault, until)) return ownerUnreachable(`the answer cannot be read: ${fault.message}`, this.options.staleAfterMs)
+    await this.options.clock.sleep(RETRY_MS)
+    return undefined
+  }
+
   private ownStep (claim: Claim): FollowStep {
     const own = this.options.ownClaimState(claim)
     return own === 'local' ? { type: 'local' } : { type: own, claim }
@@ -114,7 +141,7 @@
     const { ownerEntry, ownerIncarnation } = claim.record
     if (directory.isStale(ownerEntry, ownerIncarnation)) return { type: 'lost', claim }
     if (clock.now() >= until) return ownerUnreachable(`entry ${ownerEntry} does not answer`, staleAfterMs)
-    await clock.sleep(UNREACHABLE_RETRY_MS)
+    await clock.sleep(RETRY_MS)
     return undefined
   }
 }
--- a/packages/coordination/src/jobs/jobService.ts
+++ b/packages/coordination/src/jobs/jobService.ts
@@ -203,7 +203,7 @@
 
   private async followNewOwner (key: string, until: number): Promise<JobReply> {
     const [workspace, id] = key.split('/') as [string, string]
-    const claim = await this.options.claims.read(workspace, id)
+    const claim = await this.claimFollower.read(workspace, id, until)
     if (!claim.ok) return refuse(REASONS.storeDown, claim.err.message, RUN_STATES.mayHaveRun, STORE_RETRY_MS)
     if (claim.value === undefined) return refuse(REASONS.notFound, 'the job has expired', RUN_STATES.mayHaveRun)
     return this.attach(claim.value, undefined, until)
--- a/packages/coordination/src/jobs/lostCancellations.test.ts
+++ b/packages/coordination/src/jobs/lostCancellations.test.ts
@@ -226,3 +226,35 @@
   expect(network.clock.now()).toBeGreaterThanOrEqual(CLAIM_TIMEOUT_MS)
   expect(new Set(network.retries)).toEqual(new Set(['store_down']))
 })
+
+// Guards against a wait that the caller granted and that a single failed read of the table ends.
+describe('a caller that waits at another entry than the owner gets the answer', () => {
+  const WAIT_MS = 8000
+  const END_MS = 5000
+  const cases: Array<{ name: string, prepare: (network: CancelNetwork) => void }> = [
+    { name: 'all reads succeed', prepare: () => {} },
+    { name: 'reads fail while the owner is asked', prepare: (network) => { Object.assign(network, { goodReads: 1, failedReads: 5 }) } },
+    { name: 'no read succeeds after the first one', prepare: (network) => { Object.assign(network, { goodReads: 1, failedReads: Infinity }) } }
+  ]
+  it.each(cases)('$name', async ({ prepare }) => {
+    const network = new CancelNetwork()
+    prepare(network)
+    network.clock.after(END_MS, () => network.entries[0]!.owned.failByKey('w/j', 'deadline', 'the deadline passed'))
+    const reply = await network.until(network.entries[1]!.jobs.ask('w', 'j', WAIT_MS))
+    expect(reply).toMatchObject({ type: 'answer', answer: { reason: 'deadline' } })
+  })
+})
+
+// The same guard for a caller at an entry that has lost the job to another one.
+it('a caller whose job has moved to another entry gets the answer, though the first reads of the claim fail', async () => {
+  const network = new CancelNetwork()
+  const [first, second] = network.entries
+  const reply = first!.jobs.ask('w', 'j', 8000)
+  await new Promise((resolve) => setImmediate(resolve))
+  network.claim = network.claimOf(1)
+  network.failedReads = 3
+  second!.owned.start(createJob(JOB), network.claim)
+  first!.owned.onMoved([...first!.runs][0]!)
+  network.clock.after(5000, () => second!.owned.failByKey('w/j', 'deadline', 'the deadline passed'))
+  expect(await network.until(reply)).toMatchObject({ type: 'answer', answer: { reason: 'deadline' } })
+})
--- a/packages/store/src/errors.ts
+++ b/packages/store/src/errors.ts
@@ -7,5 +7,5 @@
   /** The platform rejected the call as invalid; a retry would be rejected too. */
   | { type: 'invalid', message: string }
 
-/** Whether it is certain that a failed call took no effect. */
-export const hadNoEffect = (fault: StoreFault): boolean => fault.type !== 'unknown'
+/** True if the same call may succeed later. */
+export const isTransient = (fault: StoreFault): boolean => fault.type !== 'invalid'
