A crash counts against a task only if the task is known to have begun there

Cause: an endpoint that restarts ends all runs that its agent has in flight as endpoint_crashed: those that run, those whose start was lost with it, and those whose start only the next incarnation has received, and refused. The entry counted each as a crash under the task, and gives a task up after two.

Change: a run knows whether it is confirmed to have begun, by the answer to its start or by a poll. Three cases, told apart where they are known: - begun: endpoint_crashed, counted as before; - perhaps begun: endpoint_crashed_at_start. It makes the task a suspect, and counts among the five lost incarnations after which a task is given up. It can't be told from a task that crashes its endpoint before it answers; two starts may follow the third crash, and five keep that; - not begun (the only copy was refused by the next incarnation): not started, so its task waits again at once. Ruled out: not to count unanswered starts at all, which breaks the bound for such tasks; to count them as before.

run_begun was written when the start was ordered, which misled the reader of those lines; it is start_ordered now. The message of a failed job says "endpoints were lost" where not all of them are known to have crashed under it.

--- a/packages/coordination/src/leased/endpointOrders.ts
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -65,7 +65,11 @@
     while (true) {
       const outcome = await endpoint.start({ ...run, runLeaseMs: leaseForStart() })
       if (!isInFlight(run)) return
-      if (outcome.type === 'gone') return onGone()
+      if (outcome.type === 'gone') {
+        // Without an earlier copy nothing was carried out: only another incarnation has received the order, and refused it.
+        if (unanswered === 0) this.onNotStarted(run, REASONS.endpointGone)
+        return onGone()
+      }
       // After an unanswered order, a used number means that the run has begun and ended.
       if (outcome.type === 'started' || (outcome.type === 'number_used' && unanswered > 0)) return this.onStarted(run)
       if (outcome.type === 'unknown') {
@@ -113,6 +117,7 @@
   }
 
   private onStarted (run: InFlightRun): void {
+    run.hasBegun = true
     this.options.onResolved(run)
     if (run.stopReason !== undefined) void this.stop(run)
   }
--- a/packages/coordination/src/leased/endpointSupervisor.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.ts
@@ -18,6 +18,13 @@
 /** How often an immediate poll is sent if it is not answered; after that, the next regular poll lists the same. */
 const MAX_POLL_TRIES = 3
 
+/**
+ * The reason that is reported for a run that ended with its endpoint. A task crashes an
+ * endpoint only once it has begun there, so a crash before that is told apart.
+ */
+const reasonOfLoss = ({ hasBegun }: InFlightRun, reason: Reason): Reason =>
+  reason === REASONS.endpointCrashed && !hasBegun ? REASONS.endpointCrashedAtStart : reason
+
 /**
  * Supervises all runs of one endpoint incarnation: orders starts within its
  * capacity, renews the run lease by polling, and confirms which runs have terminated.
@@ -90,7 +97,7 @@
   start (submission: string, index: number, payload: string, need: Resources, onTerminated: (outcome: AttemptOutcome) => void): InFlightRun {
     const ref = { submission, index, run: 0 }
     const run: InFlightRun = {
-      ...ref, payload, need, stopReason: undefined, isStopAnswered: false, resolvedAtPoll: undefined, startedAt: this.options.clock.now(), onTerminated
+      ...ref, payload, need, hasBegun: false, stopReason: undefined, isStopAnswered: false, resolvedAtPoll: undefined, startedAt: this.options.clock.now(), onTerminated
     }
     this.inFlight.set(taskNameOf(ref), run)
     void this.orders.start(run)
@@ -111,7 +118,7 @@
     this.isEnded = true
     this.wake?.()
     this.responsiveness.releaseWaiters()
-    for (const run of [...this.inFlight.values()]) this.onTerminated(run, { type: 'lost', reason })
+    this.loseAll(reason)
   }
 
   /** Polls at once without renewal, beside the regular poll that waits for an end; a request during such a poll causes another one. */
@@ -203,7 +210,11 @@
     }
     if (!this.responsiveness.isUnresponsive || !this.lease.hasExpiredAt(clock.now())) return
     const reason = this.responsiveness.isRefusingConnections ? endReason() : REASONS.endpointReset
-    for (const run of [...this.inFlight.values()]) this.onTerminated(run, { type: 'lost', reason })
+    this.loseAll(reason)
+  }
+
+  private loseAll (reason: Reason): void {
+    for (const run of [...this.inFlight.values()]) this.onTerminated(run, { type: 'lost', reason: reasonOfLoss(run, reason) })
   }
 
   /** Confirms the termination of runs that the answer lists as ended or does not list, and stops listed runs that are unknown. */
@@ -213,8 +224,10 @@
     // An order without an answer can't be carried out any more either, as the endpoint refuses what comes after the lease that it carries.
     const hasExpired = this.lease.hasExpiredAt(sentAt)
     for (const run of [...this.inFlight.values()]) {
+      const isListed = listed.has(`${taskNameOf(run)}#${run.run}`)
+      run.hasBegun ||= isListed
       const isResolved = hasExpired || (run.resolvedAtPoll !== undefined && poll > run.resolvedAtPoll)
-      if (!isResolved || listed.has(`${taskNameOf(run)}#${run.run}`)) continue
+      if (!isResolved || isListed) continue
       const reason = run.stopReason ?? REASONS.leaseExpired
       this.onTerminated(run, reason === REASONS.orderUnanswered ? { type: 'not_started', reason } : { type: 'lost', reason })
     }
--- a/packages/coordination/src/leased/hostTasks.ts
+++ b/packages/coordination/src/leased/hostTasks.ts
@@ -18,8 +18,8 @@
   clock: Pick<Clock, 'now'>
   /** A task has succeeded. */
   onDone: (runMs: number, expectedMs: number) => void
-  /** The endpoint was ordered to begin a run. */
-  onBegun: (task: OwnedTask, run: number) => void
+  /** The endpoint was ordered to begin a run; it has not answered yet. */
+  onOrdered: (task: OwnedTask, run: number) => void
   /** Reports the result of a start to its entry, however it ended. */
   report: (owner: string, key: TaskKey, outcome: TaskOutcome, reason: Reason | '', runMs: number) => void
 }
@@ -94,7 +94,7 @@
     const run = supervisor.start(key.submission, key.task, payload, need, (outcome) => this.onTerminated(running, outcome))
     const running = { owner, key, run, expectedMs }
     this.running.push(running)
-    this.options.onBegun(running, run.run)
+    this.options.onOrdered(running, run.run)
   }
 
   private onTerminated (running: RunningTask, attempt: AttemptOutcome): void {
--- a/packages/coordination/src/leased/inFlightRun.ts
+++ b/packages/coordination/src/leased/inFlightRun.ts
@@ -14,6 +14,8 @@
 export interface InFlightRun extends RunRef {
   payload: string
   need: Resources
+  /** True once the endpoint has confirmed that the run began. Before that it may have begun, or may begin later. */
+  hasBegun: boolean
   /** Set once the run is to be stopped; it counts against the free capacity until it is confirmed terminated. */
   stopReason: Reason | undefined
   /** The endpoint has confirmed that it stops the run, which ends within the time that a stop takes. */
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -63,8 +63,8 @@
     this.tasks = new HostTasks({
       clock: options.clock,
       onDone: (runMs, expectedMs) => this.speed.observe(runMs, expectedMs),
-      onBegun: ({ owner, key }, run) =>
-        options.log('run_begun', { job: key.submission, task: key.task, attempt: key.attempt, run, entry: owner }),
+      onOrdered: ({ owner, key }, run) =>
+        options.log('start_ordered', { job: key.submission, task: key.task, attempt: key.attempt, run, entry: owner }),
       report: (...end) => this.report(...end)
     })
     this.evacuations = new HostEvacuations({ zone: options.zone, onChange: () => this.onEvacuation() })
--- a/packages/coordination/src/leased/suspects.ts
+++ b/packages/coordination/src/leased/suspects.ts
@@ -34,7 +34,21 @@
 const MAX_TASKS = 5000
 const MAX_CRASHES = 2000
 
-const LOSS_REASONS: ReadonlySet<Reason> = new Set([REASONS.endpointCrashed, REASONS.endpointReset])
+/** Reasons of results that report the end of an endpoint. */
+const CRASH_REASONS: ReadonlySet<Reason> = new Set([REASONS.endpointCrashed, REASONS.endpointCrashedAtStart])
+/** Reasons of results that report an endpoint that was lost under a task. */
+const LOSS_REASONS: ReadonlySet<Reason> = new Set([...CRASH_REASONS, REASONS.endpointReset])
+
+/** How certain it is that an endpoint crashed under a task. */
+type Certainty = 'crashed' | 'silent' | 'crashed_at_start'
+
+const certaintyOf = ({ isCrash, hasBegun }: Loss): Certainty => {
+  if (!isCrash) return 'silent'
+  return hasBegun ? 'crashed' : 'crashed_at_start'
+}
+
+/** Added to the names of incarnations in logs and messages. */
+const LOSS_MARKS: Readonly<Record<Certainty, string>> = { crashed: '', silent: ' (silent)', crashed_at_start: ' (start not confirmed)' }
 
 const taskName = (job: Pick<LeasedJob, 'key'>, index: number): string => `${job.key}/${index}`
 
@@ -70,8 +84,9 @@
    */
   onFailed ({ agentId }: LeasedAgent, { job, index, endpointIncarnation }: SentRun, reason: Reason): LeasedJobEnd | undefined {
     if (!LOSS_REASONS.has(reason)) return undefined
-    const isCrash = reason === REASONS.endpointCrashed
-    this.remember(job, index, { incarnation: `${agentId}/${endpointIncarnation}`, agent: agentId, isCrash, at: this.now() })
+    const isCrash = CRASH_REASONS.has(reason)
+    const hasBegun = reason !== REASONS.endpointCrashedAtStart
+    this.remember(job, index, { incarnation: `${agentId}/${endpointIncarnation}`, agent: agentId, isCrash, hasBegun, at: this.now() })
     const task = job.tasks[index]!
     if (isCrash) task.avoidedAgents.add(agentId)
     const verdict = this.judge(job, index)
@@ -112,10 +127,12 @@
 
   private incarnationsOf (job: LeasedJob, index: number): string[] {
     const losses = this.losses.get(taskName(job, index)) ?? []
-    return [...new Set(losses.map(({ incarnation, isCrash }) => isCrash ? incarnation : `${incarnation} (silent)`))]
+    return [...new Set(losses.map((loss) => loss.incarnation + LOSS_MARKS[certaintyOf(loss)]))]
   }
 
   private failureOf (job: LeasedJob, index: number): LeasedJobEnd {
-    return { type: 'failed', reason: REASONS.taskCrashesEndpoints, message: `endpoints crashed under task ${index}: ${this.incarnationsOf(job, index).join(', ')}` }
+    const losses = this.losses.get(taskName(job, index)) ?? []
+    const what = losses.every((loss) => certaintyOf(loss) === 'crashed') ? 'endpoints crashed' : 'endpoints were lost'
+    return { type: 'failed', reason: REASONS.taskCrashesEndpoints, message: `${what} under task ${index}: ${this.incarnationsOf(job, index).join(', ')}` }
   }
 }
--- a/packages/coordination/src/leased/types.ts
+++ b/packages/coordination/src/leased/types.ts
@@ -23,7 +23,7 @@
   | { type: 'number_used' }
   /** No answer: the run may have begun, or may begin later. */
   | { type: 'unknown' }
-  /** Another incarnation of the endpoint answered: all runs of this one have terminated. */
+  /** Another incarnation of the endpoint answered: all runs of this one have terminated, and this order starts nothing. */
   | { type: 'gone' }
 
 /** How a run ended at the endpoint. */
--- a/packages/decisions/src/suspect.ts
+++ b/packages/decisions/src/suspect.ts
@@ -16,6 +16,8 @@
   readonly agent: string
   /** False if it only stopped answering: it may have gone on running. */
   readonly isCrash: boolean
+  /** False if the endpoint had not confirmed that the task began: it may have crashed for another cause, before the order arrived. */
+  readonly hasBegun: boolean
   /** Number of other agents whose endpoints crashed at about that time without running a task of the same job. */
   readonly others: number
 }
@@ -34,8 +36,8 @@
 const CRASH_LIMIT = 3
 /**
  * A task is given up after this many lost incarnations, also if some may not have
- * crashed or all were at one agent: at most two starts may follow the crash that
- * reaches `CRASH_LIMIT`.
+ * crashed, the task may not have begun at some, or all were at one agent: at most two
+ * starts may follow the crash that reaches `CRASH_LIMIT`.
  */
 const LOSS_LIMIT = CRASH_LIMIT + 2
 /** If endpoints of this many other agents crash at about the same time, the cause is an outage and not the task. */
@@ -49,13 +51,13 @@
  * @param losses - in any order; one incarnation may be reported several times
  */
 export const judgeSuspect = (losses: readonly LossView[]): SuspectVerdict => {
-  const crashes = losses.filter(({ isCrash }) => isCrash)
+  const crashes = losses.filter(({ isCrash, hasBegun }) => isCrash && hasBegun)
   const unexplained = crashes.filter(({ others }) => others < OUTAGE_CRASHES)
   const isGivenUp = countDistinct(unexplained, ({ agent }) => agent) >= UNEXPLAINED_AGENT_LIMIT ||
     (countDistinct(crashes, ({ incarnation }) => incarnation) >= CRASH_LIMIT && countDistinct(crashes, ({ agent }) => agent) > 1) ||
     countDistinct(losses, ({ incarnation }) => incarnation) >= LOSS_LIMIT
   if (isGivenUp) return 'give_up'
-  return crashes.length > 0 ? 'suspect' : 'clear'
+  return losses.some(({ isCrash }) => isCrash) ? 'suspect' : 'clear'
 }
 
 /** An agent as a candidate for a suspect task. */
--- a/packages/protocol/src/reasons.ts
+++ b/packages/protocol/src/reasons.ts
@@ -42,6 +42,8 @@
   endpointGone: 'endpoint_gone',
   /** The endpoint process ended without announcing that it leaves. */
   endpointCrashed: 'endpoint_crashed',
+  /** The same, before it had confirmed that the task began: it may not have begun. */
+  endpointCrashedAtStart: 'endpoint_crashed_at_start',
   badAnswer: 'bad_answer',
   leaseExpired: 'lease_expired',
   revoked: 'revoked',
