A failed test with a cluster prints replies, metrics and log lines

"jobs complete if the table is slow" failed once, and of it only "no answer after 30 s" is on record: not whether the job was refused or waited, nor where. What would tell the hypotheses apart existed (reasons, queue and store times, starts sent again, lines of the programs) and was thrown away with the cluster.

A test with a cluster that fails prints now the latest 40 replies with their times and reasons, the metrics of each entry that are not zero, and the latest lines of each program. No check, bound or test changes.

--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -289,7 +289,8 @@
     return join(this.recordDir, `endpoint-${index}.txt`)
   }
 
-  private recentLogs (): string {
+  /** The latest log lines of every program. */
+  recentLogs (): string {
     return this.programs.map((program) => `--- ${program.name}\n${program.logLines().slice(-15).join('\n')}`).join('\n')
   }
 }
--- a/tests/support.ts
+++ b/tests/support.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Cluster, callerToken } from '@hazellift/standins'
 import type { ClusterOptions } from '@hazellift/standins'
-import { afterAll, beforeAll, expect } from 'vitest'
+import { afterAll, afterEach, beforeAll, expect } from 'vitest'
+import { describeFailure, recordReply } from './failureReport.js'
 
 /** An HTTP response about a job. `status` is 0 if the connection failed; fields that the body lacks are empty. */
 export interface JobReply {
@@ -42,6 +43,13 @@
 
 /** Sends a request and returns its reply; a failed connection is returned as status 0 with the error as message. */
 export const call = async (url: string, init: RequestInit, token: string): Promise<JobReply> => {
+  const startedAt = performance.now()
+  const reply = await fetchReply(url, init, token)
+  recordReply(`${init.method ?? 'GET'} ${url}`, performance.now() - startedAt, reply)
+  return reply
+}
+
+const fetchReply = async (url: string, init: RequestInit, token: string): Promise<JobReply> => {
   try {
     const res = await fetch(url, { ...init, headers: { authorization: `Bearer ${token}`, ...init.headers } })
     return { ...NO_ANSWER, ...await res.json() as object, status: res.status }
@@ -101,6 +109,9 @@
       entries: 2, workers: 3, entryArgs: QUICK_ENTRY_ARGS, agentArgs: QUICK_AGENT_ARGS, ...options
     })
   })
+  afterEach(async ({ task }) => {
+    if (task.result?.state === 'fail' && cluster !== undefined) console.error(await describeFailure(cluster))
+  })
   afterAll(async () => { await cluster?.stop() })
   return () => cluster!
 }
@@ -126,6 +137,9 @@
   try {
     await run(cluster)
     expect(cluster.startedTwice()).toEqual([])
+  } catch (err) {
+    console.error(await describeFailure(cluster))
+    throw err
   } finally {
     await cluster.stop()
   }
