Waits are sent to other entries in whole milliseconds

What callers saw: a question to another entry that named a wait of under two seconds was never sent, and its owner counted as unreachable. A cancellation at another entry than the owner took 200 ms more than needed, and had 503 owner_unreachable or store_down if the table failed in that time; a GET learned of the end of its job by reading the table five times a second; in an outage of the table a cancellation reached the other entries only with its last try, when no time remained.

Cause: the remaining wait is a difference of readings of the steady clock, which has fractions of a millisecond. wait_ms is a uint32, and a Connect time limit is a whole number: "cannot encode field hazellift.v1.AwaitRequest.wait_ms to binary: invalid uint32: 199.969", "invalid connect timeout value: 1006.367". PeerClients took each error for an unreachable peer. The tests missed it, as the fake clock has whole milliseconds, and as api.test.ts waits for 0 ms or for more than the two seconds that one question lasts at most.

Why it works: PeerClients, where times become messages, rounds them up. Looked for elsewhere: all other waits and delays that are sent are rounded or constants.

--- a/packages/entry/src/peers/peerClients.ts
+++ b/packages/entry/src/peers/peerClients.ts
@@ -9,6 +9,9 @@
 
 const CALL_TIMEOUT_MS = 1000
 
+/** Times on the wire and time limits of calls are whole milliseconds; a call with a fraction would not be sent. */
+const toWholeMs = (ms: number): number => Math.max(0, Math.ceil(ms))
+
 const clusterTokenInterceptor = (clusterToken: string): Interceptor => (next) => (req) => {
   req.header.set(CLUSTER_TOKEN_HEADER, clusterToken)
   return next(req)
@@ -27,11 +30,13 @@
 
   constructor (private readonly clusterToken: string) {}
 
-  await: PeerCalls['await'] = (address, query) =>
-    this.call(address, query.waitMs + CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.await(query, { timeoutMs }))
+  await: PeerCalls['await'] = (address, query) => {
+    const waitMs = toWholeMs(query.waitMs)
+    return this.call(address, waitMs + CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.await({ ...query, waitMs }, { timeoutMs }))
+  }
 
   cancel: PeerCalls['cancel'] = (address, { workspace, submission, nonce, waitMs }) =>
-    this.call(address, waitMs + CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.cancel({ workspace, submission, nonce }, { timeoutMs }))
+    this.call(address, toWholeMs(waitMs) + CALL_TIMEOUT_MS, (peer, timeoutMs) => peer.cancel({ workspace, submission, nonce }, { timeoutMs }))
 
   /** Introduces this entry to a peer; returns the peer's incarnation, or undefined if it did not answer. */
   introduce = async (address: string, entry: EntryRecord): Promise<string | undefined> => {
