The owner's answer to a cancellation is the reply

What callers saw: 503 owner_unreachable or store_down for a cancellation that had been carried out and answered: the canceller dropped the owner's answer, and asked the owner again for the state of the job; if that question, or the read after it, failed, the answer was lost.

Change: a final answer to the request is the reply. Without one the claim is followed as before.

Evidence: the new case of lostCancellations.test.ts ("the owner answers the cancellation, and no question after it") fails without the change, with a refusal for the answer.

--- a/packages/coordination/src/jobs/jobCanceller.ts
+++ b/packages/coordination/src/jobs/jobCanceller.ts
@@ -82,19 +82,21 @@
     const claim = await claims.read(workspace, id)
     if (!claim.ok) return this.askOthers(workspace, id, until)
     if (claim.value === undefined) return refuse(REASONS.notFound, 'no such job', RUN_STATES.notRun)
-    await this.askOwner(claim.value)
+    const reply = await this.askOwner(claim.value)
+    if (reply?.type === 'answer') return reply
     return follow(claim.value, Math.min(until, clock.now() + RETRY_MS))
   }
 
-  private async askOwner ({ record }: Claim): Promise<void> {
+  /** Asks the owner to cancel the job; `undefined` if it cannot be found, does not answer or does not know the job. */
+  private async askOwner ({ record }: Claim): Promise<JobReply | undefined> {
     const { directory, peers, claimTimeoutMs } = this.options
     const find = () => directory.find(record.ownerEntry, record.ownerIncarnation)
     // The claim and its owner may be newer than the last read of the directory.
     if (find() === undefined) await directory.refresh()
     const owner = find()
-    if (owner === undefined) return
+    if (owner === undefined) return undefined
     const { workspace, submission, nonce } = record
-    await peers.cancel(owner.sessionAddress, { workspace, submission, nonce, waitMs: claimTimeoutMs })
+    return toReply(await peers.cancel(owner.sessionAddress, { workspace, submission, nonce, waitMs: claimTimeoutMs }))
   }
 
   /** Asks all other entries to cancel the job. Replies once one of them has its final answer, or when all have answered. */
--- a/packages/coordination/src/jobs/lostCancellations.test.ts
+++ b/packages/coordination/src/jobs/lostCancellations.test.ts
@@ -49,6 +49,8 @@
   failedReads = 0
   goodReads = 0
   retries: string[] = []
+  /** Questions to the owner other than cancellations get no answer. */
+  isOwnerMute = false
 
   constructor () {
     this.entries = [0, 1].map((index) => this.createEntry(index))
@@ -144,7 +146,7 @@
     const reset = fail({ type: 'unreachable' as const, message: 'connection reset' })
     const answersOf = (address: string) => this.entries.find(({ incarnation }) => incarnation === address)!.jobs.peerAnswers
     return {
-      await: async (address, query) => this.isOwnerDead ? reset : ok(create(AwaitResponseSchema, await answersOf(address).await(query))),
+      await: async (address, query) => this.isOwnerDead || this.isOwnerMute ? reset : ok(create(AwaitResponseSchema, await answersOf(address).await(query))),
       cancel: async (address, query) => {
         if (this.isOwnerDead || this.lostCancels-- > 0) return reset
         return ok(create(AwaitResponseSchema, await answersOf(address).cancel(query)))
@@ -165,6 +167,10 @@
         network.entries[0]!.runs.clear()
       }
     },
+    {
+      name: 'the owner answers the cancellation, and no question after it',
+      prepare: (network) => { network.isOwnerMute = true }
+    },
     {
       name: 'one read of the claim fails',
       prepare: (network) => { network.failedReads = 1 }
