--- a/packages/coordination/src/leased/endpointOrders.ts
+++ b/packages/coordination/src/leased/endpointOrders.ts
@@ -5,7 +5,8 @@
 import { taskNameOf } from './inFlightRun.js'
 import type { AttemptOutcome, InFlightRun } from './inFlightRun.js'
 import { RunNumbers } from './runNumbers.js'
-import type { LeasedEndpoint } from './types.js'
+import { LateAnswer } from './lateAnswer.js'
+import type { LeasedEndpoint, StartOutcome } from './types.js'
 
 /** What orders to an endpoint need. */
 export interface EndpointOrdersOptions {
@@ -61,9 +62,16 @@
     const { endpoint, responsiveness, isInFlight, leaseForStart, onGone } = this.options
     let usedNumbers = 0
     let unanswered = 0
+    const late = new LateAnswer<StartOutcome>()
+    // Only this answer settles the order: of a copy that was refused, another one may still be carried out.
+    const onLate = (outcome: StartOutcome): void => {
+      if (outcome.type !== 'started') return
+      run.hasBegun = true
+      late.arrive(outcome)
+    }
     run.run = this.runNumbers.next(taskNameOf(run), 0)
     while (true) {
-      const outcome = await endpoint.start({ ...run, runLeaseMs: leaseForStart() })
+      const outcome = await late.orEarlier(endpoint.start({ ...run, runLeaseMs: leaseForStart(), onLate }))
       if (!isInFlight(run)) return
       if (outcome.type === 'gone') {
         // Without an earlier copy nothing was carried out: only another incarnation has received the order, and refused it.
@@ -91,8 +99,9 @@
   async stop (run: InFlightRun): Promise<void> {
     const { clock, endpoint, responsiveness, isInFlight, isEnded, onResolved, onStopAnswered, poll } = this.options
     const isUnresolved = (): boolean => run.resolvedAtPoll === undefined
+    const late = new LateAnswer<boolean>()
     for (let tries = 1; (isInFlight(run) || isUnresolved()) && !isEnded(); tries++) {
-      if (await endpoint.stop(run)) {
+      if (await late.orEarlier(endpoint.stop(run, () => late.arrive(true)))) {
         onResolved(run)
         onStopAnswered(run)
         // The endpoint lists no end for a run that never began, so only a poll can confirm it.
--- a/packages/coordination/src/leased/endpointSupervisor.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.ts
@@ -130,7 +130,8 @@
       this.mustPollAgain = false
       const poll = ++this.pollCount
       const sentAt = this.options.clock.now()
-      const outcome = await this.options.endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0 })
+      const onLate = (late: PollOutcome): void => this.onLateAnswer(poll, sentAt, late)
+      const outcome = await this.options.endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0, onLate })
       if (this.isEnded) break
       if (outcome.type === 'gone') this.onGone()
       else if (outcome.type === 'listed') this.reconcile(poll, sentAt, outcome)
@@ -156,8 +157,12 @@
   /** Stops the runs of earlier agents without renewing their lease; nothing starts before they have terminated. */
   private async stopEarlierRuns (): Promise<void> {
     const { clock, endpoint, log, onReady } = this.options
+    let late: PollOutcome | undefined
+    const onLate = (outcome: PollOutcome): void => { late = outcome }
     while (!this.isEnded) {
-      const outcome = await endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0 })
+      const inTime = await endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0, onLate })
+      const outcome = inTime.type === 'unknown' ? late ?? inTime : inTime
+      late = undefined
       if (outcome.type === 'gone') return this.onGone()
       if (outcome.type === 'listed') {
         for (const { seq } of outcome.ended) this.lastSeen = Math.max(this.lastSeen, seq)
@@ -187,7 +192,8 @@
     const mayRenew = !isUnverified && !this.lease.isStopPending
     const runLeaseMs = isUnresponsive || !mayRenew ? undefined : this.lease.renew()
     const waitMs = mayRenew ? pollWaitMs : Math.min(UNRENEWED_WAIT_MS, pollWaitMs)
-    const outcome = await endpoint.poll({ runLeaseMs, lastSeen: this.lastSeen, waitMs })
+    const onLate = (late: PollOutcome): void => this.onLateAnswer(poll, sentAt, late)
+    const outcome = await endpoint.poll({ runLeaseMs, lastSeen: this.lastSeen, waitMs, onLate })
     if (this.isEnded) return
     if (outcome.type === 'gone') return this.onGone()
     if (outcome.type === 'unknown') this.onPollUnanswered(sentAt, outcome.isRefused === true)
@@ -195,6 +201,13 @@
     await clock.sleep(Math.min(this.responsiveness.pauseMs, this.lease.untilExpiryMs))
   }
 
+  /** Handles the answer to a poll that counted as unanswered: the endpoint is responsive, if slow. */
+  private onLateAnswer (poll: number, sentAt: number, outcome: PollOutcome): void {
+    if (this.isEnded) return
+    if (outcome.type === 'gone') this.onGone()
+    if (outcome.type === 'listed') this.onPollAnswered(poll, sentAt, outcome)
+  }
+
   private onPollAnswered (poll: number, sentAt: number, outcome: PollOutcome & { type: 'listed' }): void {
     const wasUnresponsive = this.responsiveness.isUnresponsive
     this.responsiveness.onPollAnswered()
--- a/packages/coordination/src/leased/responseTimes.ts
+++ b/packages/coordination/src/leased/responseTimes.ts
@@ -7,7 +7,8 @@
 const MIN_LIMIT_MS = 10
 /**
  * Upper bound of the limit. The run lease lasts for half a second and must survive
- * two lost polls in a row, so a call counts as lost after this time on a slow machine, too.
+ * two lost polls in a row, so a call is repeated after this time on a slow machine, too; an
+ * answer that arrives later counts.
  */
 export const MAX_LIMIT_MS = 100
 /** The limit before the first answer; each call lost before then doubles it. */
--- a/packages/coordination/src/leased/types.ts
+++ b/packages/coordination/src/leased/types.ts
@@ -12,6 +12,8 @@
   payload: string
   /** Length of the run lease, in ms from the moment of sending. */
   runLeaseMs: number
+  /** Called if the order is answered after its outcome was `unknown`. */
+  onLate?: (outcome: StartOutcome) => void
 }
 
 /** What is known after an order to start. */
@@ -52,6 +54,8 @@
   lastSeen: number
   /** How long the endpoint may delay the answer until a run ends, in ms. */
   waitMs: number
+  /** Called if the poll is answered after its outcome was `unknown`. */
+  onLate?: (outcome: PollOutcome) => void
 }
 
 /** The endpoint's answer to a poll. */
@@ -62,10 +66,18 @@
   /** Another incarnation of the endpoint answered: all runs of this one have terminated. */
   | { type: 'gone' }
 
-/** The calls of one incarnation of an endpoint. Their promises resolve within time limits of their own and never reject. */
+/**
+ * The calls of one incarnation of an endpoint. Their promises resolve within time limits of
+ * their own and never reject. A time limit only says when a call is to be repeated: an
+ * answer that arrives later is reported, too, as an endpoint that lacks processor time
+ * answers every call late.
+ */
 export interface LeasedEndpoint {
   start: (order: StartOrder) => Promise<StartOutcome>
-  /** Resolves with true once the run is being stopped or can never begin. */
-  stop: (run: RunRef) => Promise<boolean>
+  /**
+   * Resolves with true once the run is being stopped or can never begin, and with false if
+   * there is no such answer; calls `onLate` if it arrives after that.
+   */
+  stop: (run: RunRef, onLate?: () => void) => Promise<boolean>
   poll: (request: PollRequest) => Promise<PollOutcome>
 }
