--- a/packages/coordination/src/leased/endpointSupervisor.test.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { createFakeClock } from '../../tests/fakeClock.js'
+import { STEP_MS, advanceTime, flushPromises } from '../../tests/leased/advanceTime.js'
 import { CAPACITY, FakeEndpoint } from '../../tests/leased/fakeEndpoint.js'
 import type { CallFault } from '../../tests/leased/fakeEndpoint.js'
 import { EndpointSupervisor } from './endpointSupervisor.js'
@@ -9,14 +10,9 @@
 /** Time limit of a caller that has learned that answers take a millisecond or two. */
 const CALL_LIMIT_MS = 10
 const NEED = { cpuMilli: 1000, memoryMb: 64 }
-/** Step by which the tests advance the clock; the fake endpoint ends its runs this often. */
-const STEP_MS = 5
 
 type Call = 'start' | 'stop' | 'poll'
 
-/** Runs pending callbacks without advancing the clock. */
-const flush = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
-
 const setUp = async (runMs: number, callLimitMs = CALL_LIMIT_MS) => {
   let mayStart = true
   const clock = createFakeClock()
@@ -25,15 +21,8 @@
   const supervisor = new EndpointSupervisor({
     clock, endpoint, capacity: CAPACITY, times: TIMES, pollWaitMs: 100, beforeRenewal: () => {}, mayStart: () => mayStart, onCapacityFreed: () => {}, onReady: () => {}, endReason: () => 'endpoint_crashed', onGone: () => {}, log: () => {}
   })
-  const advance = async (ms: number): Promise<void> => {
-    for (let passed = 0; passed < ms; passed += STEP_MS) {
-      endpoint.tick()
-      await flush()
-      clock.advance(STEP_MS)
-      await flush()
-    }
-  }
-  await flush()
+  const advance = (ms: number): Promise<void> => advanceTime(clock, endpoint, ms)
+  await flushPromises()
   /** Starts a task; its outcome and the time until then, in ms, are set once it has terminated. */
   const start = (submission: string): { outcome?: { type: string, at: number } } => {
     const task: { outcome?: { type: string, at: number } } = {}
--- a/packages/coordination/src/leased/lateAnswers.test.ts
+++ b/packages/coordination/src/leased/lateAnswers.test.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@hazellift/common'
 import { describe, expect, it } from 'vitest'
 import { createFakeClock } from '../../tests/fakeClock.js'
+import { advanceTime } from '../../tests/leased/advanceTime.js'
 import { CAPACITY, FakeEndpoint } from '../../tests/leased/fakeEndpoint.js'
 import { EndpointSupervisor } from './endpointSupervisor.js'
 import type { AttemptOutcome } from './inFlightRun.js'
@@ -10,14 +11,10 @@
 const TIMES = { entryLeaseMs: 600, runLeaseMs: 500, stopMs: 50, clockFactor: 1.02 }
 const NEED = { cpuMilli: 1000, memoryMb: 64 }
 const RUN_MS = 1000
-const STEP_MS = 5
 /** Longer than an endpoint that answers within the longest time limit needs for a run. */
 const PATIENCE_MS = 3000
 const UNKNOWN = { type: 'unknown' } as const
 
-/** Runs pending callbacks without advancing the clock. */
-const flush = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
-
 /** Calls of an endpoint that receives each after half of `answerMs`, and whose answer arrives after the other half. */
 const delayCalls = (endpoint: FakeEndpoint, clock: Clock, answerMs: number): LeasedEndpoint => {
   const call = <T>(unanswered: T, waitMs: number, act: () => Promise<T>, onLate: (outcome: T) => void = () => {}): Promise<T> => new Promise((resolve) => {
@@ -45,14 +42,7 @@
   const supervisor = new EndpointSupervisor({
     clock, endpoint: delayCalls(endpoint, clock, answerMs), capacity: CAPACITY, times: TIMES, pollWaitMs: 100, beforeRenewal: () => {}, mayStart: () => true, onCapacityFreed: () => {}, onReady: () => {}, endReason: () => 'endpoint_crashed', onGone: () => {}, log: () => {}
   })
-  const advance = async (ms: number): Promise<void> => {
-    for (let passed = 0; passed < ms; passed += STEP_MS) {
-      endpoint.tick()
-      await flush()
-      clock.advance(STEP_MS)
-      await flush()
-    }
-  }
+  const advance = (ms: number): Promise<void> => advanceTime(clock, endpoint, ms)
   await advance(PATIENCE_MS)
   return { endpoint, supervisor, advance }
 }
--- a/packages/coordination/src/leased/lostRuns.test.ts
+++ b/packages/coordination/src/leased/lostRuns.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { createFakeClock } from '../../tests/fakeClock.js'
+import { STEP_MS, flushPromises } from '../../tests/leased/advanceTime.js'
 import { EndpointSupervisor } from './endpointSupervisor.js'
 import type { AttemptOutcome } from './inFlightRun.js'
 import type { PollOutcome, StartOutcome } from './types.js'
@@ -7,7 +8,6 @@
 const TIMES = { entryLeaseMs: 600, runLeaseMs: 500, stopMs: 50, clockFactor: 1.02 }
 const CAPACITY = { cpuMilli: 4000, memoryMb: 4000 }
 const NEED = { cpuMilli: 1000, memoryMb: 64 }
-const STEP_MS = 5
 const POLL_MS = 20
 const TEST_MS = 400
 const SUBMISSION = 'job'
@@ -18,9 +18,6 @@
 const EMPTY: PollOutcome = { type: 'listed', running: [], ended: [] }
 const RUNNING: PollOutcome = { type: 'listed', running: [{ submission: SUBMISSION, index: 0, run: 1 }], ended: [] }
 
-/** Runs pending callbacks without advancing the clock. */
-const flush = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
-
 /** Orders one run at an endpoint that answers as scripted, and returns how it terminated. The last outcome of each script repeats. */
 const runScripted = async (starts: Array<StartOutcome | 'pending'>, polls: PollOutcome[]): Promise<AttemptOutcome | undefined> => {
   const clock = createFakeClock()
@@ -53,12 +50,12 @@
     onGone: () => {},
     log: () => {}
   })
-  await flush()
+  await flushPromises()
   isOrdered = true
   const task: { outcome?: AttemptOutcome } = {}
   supervisor.start(SUBMISSION, 0, '', NEED, (outcome) => { task.outcome = outcome })
   for (let passedMs = 0; passedMs < TEST_MS && task.outcome === undefined; passedMs += STEP_MS) {
-    await flush()
+    await flushPromises()
     clock.advance(STEP_MS)
   }
   return task.outcome
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -8,6 +8,7 @@
 import { createFakeClock } from '../fakeClock.js'
 import type { FakeClock } from '../fakeClock.js'
 import { ProcessClock } from '../processClock.js'
+import { flushPromises } from './advanceTime.js'
 import type { BootClock } from '../processClock.js'
 import { CAPACITY, FakeEndpoint } from './fakeEndpoint.js'
 import type { CrashMode } from './fakeEndpoint.js'
@@ -25,9 +26,6 @@
 /** Zone of the entries, and of the agents unless a test sets others. */
 const ZONE = 'z'
 
-/** Runs pending callbacks and promises without advancing the clock. */
-const flushPromises = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
-
 /** An agent and an entry, with the link between them. */
 interface Pair {
   agent: number
--- a/packages/coordination/tests/leased/unansweredStops.test.ts
+++ b/packages/coordination/tests/leased/unansweredStops.test.ts
@@ -3,6 +3,7 @@
 import type { InFlightRun } from '../../src/leased/inFlightRun.js'
 import { EndpointSupervisor } from '../../src/leased/endpointSupervisor.js'
 import { createFakeClock } from '../fakeClock.js'
+import { STEP_MS, advanceTime, flushPromises } from './advanceTime.js'
 import { CAPACITY, FakeEndpoint, overlappingRuns } from './fakeEndpoint.js'
 import type { CallFault } from './fakeEndpoint.js'
 import { LEASE_TIMES, LeasedNetwork } from './leasedNetwork.js'
@@ -13,8 +14,6 @@
 const RESUBMIT_MS = 1300
 /** Time in which all sessions open. */
 const JOIN_MS = 400
-/** Step by which the tests advance the clock; the fake endpoint ends its runs this often. */
-const STEP_MS = 5
 /** From the last renewal of the run lease until nothing runs any more. */
 const EXPIRY_MS = LEASE_TIMES.runLeaseMs * LEASE_TIMES.clockFactor + LEASE_TIMES.stopMs
 
@@ -71,16 +70,8 @@
   const supervisor = new EndpointSupervisor({
     clock, endpoint, capacity: CAPACITY, times: LEASE_TIMES, pollWaitMs: 100, beforeRenewal: () => {}, mayStart: () => true, onCapacityFreed: () => { freedCount++ }, onReady: () => {}, endReason: () => 'endpoint_crashed', onGone: () => {}, log: () => {}
   })
-  const flush = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
-  const advance = async (ms: number): Promise<void> => {
-    for (let passed = 0; passed < ms; passed += STEP_MS) {
-      endpoint.tick()
-      await flush()
-      clock.advance(STEP_MS)
-      await flush()
-    }
-  }
-  await flush()
+  const advance = (ms: number): Promise<void> => advanceTime(clock, endpoint, ms)
+  await flushPromises()
   const outcomes: Record<string, AttemptOutcome> = {}
   const start = (submission: string): InFlightRun =>
     supervisor.start(submission, 0, '', { cpuMilli: 1000, memoryMb: 64 }, (outcome) => { outcomes[submission] = outcome })
--- a/packages/coordination/tests/leased/unverifiedLeases.test.ts
+++ b/packages/coordination/tests/leased/unverifiedLeases.test.ts
@@ -1,3 +1,4 @@
+import { flushPromises } from './advanceTime.js'
 import { create } from '@bufbuild/protobuf'
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import { seededRandom, SuspensionWatch } from '@hazellift/common'
@@ -13,9 +14,6 @@
 import { CAPACITY } from './fakeEndpoint.js'
 import { LEASE_TIMES } from './leasedNetwork.js'
 
-/** Runs pending callbacks and promises without advancing the clock. */
-const flushPromises = async (): Promise<void> => { for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve)) }
-
 /** A call that a test has not answered yet. */
 interface PendingCall<Order, Outcome> {
   order: Order
