The refusal of a cancellation says what is known of the other entries

Read as a newcomer: "no other entry knows the job" was said also where they had not answered. The reply's reason and run are the same.

--- a/packages/coordination/src/jobs/jobCanceller.ts
+++ b/packages/coordination/src/jobs/jobCanceller.ts
@@ -47,6 +47,7 @@
   return mayBeOpen ? reply.reason : undefined
 }
 
+/** The reply of an entry that was asked to cancel a job; `undefined` if it does not answer or does not know the job. */
 const toReply = (res: Awaited<ReturnType<PeerCalls['cancel']>>): JobReply | undefined => {
   if (!res.ok || res.value.kind === PEER_ANSWERS.unknown) return undefined
   return res.value.answer === undefined ? { type: 'pending' } : { type: 'answer', answer: res.value.answer }
@@ -107,6 +108,6 @@
       toReply(await peers.cancel(sessionAddress, { workspace, submission, nonce: ANY_CLAIM, waitMs })))
     const isFinal = (reply: JobReply | undefined): boolean => reply?.type === 'answer'
     const reply = await firstMatching(replies, isFinal) ?? (await Promise.all(replies)).find((other) => other !== undefined)
-    return reply ?? refuse(REASONS.storeDown, 'the table service does not answer, and no other entry knows the job', RUN_STATES.mayHaveRun, STORE_RETRY_MS)
+    return reply ?? refuse(REASONS.storeDown, 'the table service does not answer, and no other entry has answered for the job', RUN_STATES.mayHaveRun, STORE_RETRY_MS)
   }
 }
