The runs of an endpoint that announces its end are lost once they have terminated

Cause: the agent took the announcement (DELETE) for the end of everything there. EndpointRegistry.onLeave removed the incarnation, and the removal reported each run as lost at once. All other losses wait for a proof.

Evidence: on the code before, endpoint_left, endpoint_removed tasks=1 and attempt_ended reason=endpoint_gone stand in one millisecond (2131), with no call of the endpoint between; the task begins elsewhere at 2139, its first run ends at 2429. Ruled out: a pause of stopMs would pass the case, and not an endpoint that takes longer.

Now the incarnation is retired: no start, no renewal, its runs are stopped, a poll at once and further ones, and each run is lost by the proofs that all others need. That works for any time to the end, answered or not, as the last run lease bounds it. Results and duplicates are told by the tasks' own supervisor, as the next incarnation may be served beside the retired one.

--- a/packages/coordination/src/leased/endpointSupervisor.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.ts
@@ -18,6 +18,17 @@
 /** How often an immediate poll is sent if it is not answered; after that, the next regular poll lists the same. */
 const MAX_POLL_TRIES = 3
 
+/** What confirmed that the last run of a retired incarnation has terminated. */
+const RETIREMENT_PROOFS = {
+  /** The endpoint's own lists. */
+  listed: 'listed',
+  /** Another incarnation has answered in its place. */
+  replaced: 'replaced',
+  /** The last run lease has expired. */
+  expired: 'expired'
+} as const
+type RetirementProof = typeof RETIREMENT_PROOFS[keyof typeof RETIREMENT_PROOFS]
+
 /**
  * The reason that is reported for a run that ended with its endpoint. A task crashes an
  * endpoint only once it has begun there, so a crash before that is told apart.
@@ -31,8 +42,9 @@
  *
  * Invariant: a run leaves `inFlight` only when the endpoint has listed its end,
  * when a poll sent after its order's outcome was known does not list it, when
- * every run lease has expired on the endpoint's clock, or when the incarnation
- * has ended.
+ * every run lease has expired on the endpoint's clock, or when another incarnation
+ * was found in its place. What the endpoint announces of its own end is no proof, as
+ * its tasks are at work until that.
  */
 export class EndpointSupervisor {
   private readonly inFlight = new Map<string, InFlightRun>()
@@ -48,6 +60,8 @@
   private mustPollAgain = false
   private isReady = false
   private isEnded = false
+  /** When and why the incarnation was retired, on the agent's clock; undefined before. */
+  private retirement: { at: number, reason: Reason } | undefined
   private wake: (() => void) | undefined
   /** The capacity that remains besides the runs in flight; the capacity itself may change at any time. */
   readonly remaining: FreeCapacity
@@ -61,7 +75,7 @@
       responsiveness: this.responsiveness,
       isInFlight: (run) => !this.isEnded && this.isInFlight(run),
       isEnded: () => this.isEnded,
-      mayStart: () => options.mayStart() && !this.remaining.isOvercommitted && !this.lease.isHoldingStarts,
+      mayStart: () => !this.isRetired && options.mayStart() && !this.remaining.isOvercommitted && !this.lease.isHoldingStarts,
       leaseForStart: () => this.lease.leaseForStart(),
       onResolved: (run) => { run.resolvedAtPoll = this.pollCount },
       onStopAnswered: (run) => { run.isStopAnswered = true },
@@ -77,9 +91,14 @@
     return this.inFlight.size
   }
 
-  /** True once the runs of earlier agents have terminated, until the incarnation ends. */
+  /** True once the runs of earlier agents have terminated, until the incarnation is retired or ends. */
   get acceptsStarts (): boolean {
-    return this.isReady && !this.isEnded
+    return this.isReady && !this.isRetired && !this.isEnded
+  }
+
+  /** True once the incarnation gets no more work, though runs of it may not have terminated. */
+  get isRetired (): boolean {
+    return this.retirement !== undefined
   }
 
   /** Resources for further starts; zero while the endpoint accepts no starts, is unresponsive, or leaves a stop unanswered for long. */
@@ -88,11 +107,6 @@
     return isOpen ? this.remaining.free : { cpuMilli: 0, memoryMb: 0 }
   }
 
-  /** The run of this task that is not confirmed terminated, if there is one. */
-  find (submission: string, index: number): InFlightRun | undefined {
-    return this.inFlight.get(taskNameOf({ submission, index }))
-  }
-
   /** Orders a start. The caller has checked the free capacity and that no run of the task is in flight. */
   start (submission: string, index: number, payload: string, need: Resources, onTerminated: (outcome: AttemptOutcome) => void): InFlightRun {
     const ref = { submission, index, run: 0 }
@@ -112,6 +126,22 @@
     if (run.resolvedAtPoll !== undefined) void this.orders.stop(run)
   }
 
+  /**
+   * The incarnation gets no more work: it leaves, or another one takes its place. It may
+   * still be at work on its runs, so each of them is lost only once it is confirmed
+   * terminated. They are stopped, and their lease is not renewed any more.
+   *
+   * @param reason - reported for the runs that are lost
+   */
+  retire (reason: Reason): void {
+    if (this.isEnded || this.isRetired) return
+    if (this.inFlight.size === 0) return this.end(reason)
+    this.retirement = { at: this.options.clock.now(), reason }
+    for (const run of this.inFlight.values()) this.stop(run, REASONS.endpointGone)
+    // Ends that are listed already count before its process is gone.
+    void this.pollNow()
+  }
+
   /** The incarnation has ended, and all of its runs with it. */
   end (reason: Reason): void {
     if (this.isEnded) return
@@ -189,7 +219,7 @@
     const sentAt = clock.now()
     const { isUnresponsive, pollWaitMs } = this.responsiveness
     const isUnverified = this.options.isUnverified?.() === true
-    const mayRenew = !isUnverified && !this.lease.isStopPending
+    const mayRenew = !isUnverified && !this.isRetired && !this.lease.isStopPending
     const runLeaseMs = isUnresponsive || !mayRenew ? undefined : this.lease.renew()
     const waitMs = mayRenew ? pollWaitMs : Math.min(UNRENEWED_WAIT_MS, pollWaitMs)
     const onLate = (late: PollOutcome): void => this.onLateAnswer(poll, sentAt, late)
@@ -216,14 +246,26 @@
   }
 
   private onPollUnanswered (sentAt: number, isRefused: boolean): void {
-    const { clock, log, onCapacityFreed, endReason } = this.options
+    const { clock, log, onCapacityFreed } = this.options
     if (this.responsiveness.onPollUnanswered(sentAt, isRefused)) {
       log('endpoint_silent', { tasks: this.inFlight.size, connectionRefused: isRefused })
       onCapacityFreed()
     }
-    if (!this.responsiveness.isUnresponsive || !this.lease.hasExpiredAt(clock.now())) return
-    const reason = this.responsiveness.isRefusingConnections ? endReason() : REASONS.endpointReset
-    this.loseAll(reason)
+    if (!this.lease.hasExpiredAt(clock.now())) return
+    if (this.retirement !== undefined) this.endRetired(this.retirement, RETIREMENT_PROOFS.expired)
+    else if (this.responsiveness.isUnresponsive) this.loseAll(this.reasonOfSilence)
+  }
+
+  /** The last run of the retired incarnation is confirmed terminated. */
+  private endRetired ({ at, reason }: { at: number, reason: Reason }, by: RetirementProof): void {
+    const { clock, log } = this.options
+    log('retired_endpoint_ended', { reason, by, ms: Math.round(clock.now() - at) })
+    this.end(reason)
+  }
+
+  private get reasonOfSilence (): Reason {
+    const { endReason } = this.options
+    return this.responsiveness.isRefusingConnections ? endReason() : REASONS.endpointReset
   }
 
   private loseAll (reason: Reason): void {
@@ -267,6 +309,7 @@
 
   private onGone (): void {
     if (this.isEnded) return
+    if (this.retirement !== undefined) return this.endRetired(this.retirement, RETIREMENT_PROOFS.replaced)
     this.end(this.options.endReason())
     this.options.onGone()
   }
@@ -280,5 +323,6 @@
     this.inFlight.delete(taskNameOf(run))
     run.onTerminated(outcome)
     this.options.onCapacityFreed()
+    if (this.retirement !== undefined && !this.isEnded && this.inFlight.size === 0) this.endRetired(this.retirement, RETIREMENT_PROOFS.listed)
   }
 }
--- a/packages/coordination/src/leased/endpointSupervisorOptions.ts
+++ b/packages/coordination/src/leased/endpointSupervisorOptions.ts
@@ -24,7 +24,7 @@
   onReady: () => void
   /** Reason for lost runs if the incarnation has ended on its own. */
   endReason: () => Reason
-  /** Another incarnation of the endpoint has answered. */
+  /** Another incarnation of the endpoint has answered, before this one was retired. */
   onGone: () => void
   log: (event: string, fields: Record<string, string | number | boolean | undefined>) => void
 }
--- a/packages/coordination/src/leased/hostEndpoint.ts
+++ b/packages/coordination/src/leased/hostEndpoint.ts
@@ -62,7 +62,7 @@
     return describeIncarnation(this.current?.acceptsStarts === true ? this.announced : undefined)
   }
 
-  /** Begins a new incarnation; all runs of an earlier one have terminated. */
+  /** Begins a new incarnation. An earlier one was retired before, unless its runs are known to have terminated. */
   begin (announced: AnnouncedIncarnation): void {
     const { clock, times, pollWaitMs, log, beforeRenewal, isUnverified, mayStart, onCapacityFreed, onChange } = this.options
     this.remove(REASONS.endpointCrashed)
@@ -104,20 +104,34 @@
   }
 
   /**
-   * Removes the current incarnation: it has ended, or must get no more work.
+   * Removes the current incarnation, which has ended, and all of its runs with it.
    *
    * @param why - replaced by `endpointGone` if it crashed after it had announced that it leaves
    */
   remove (why: Reason): void {
-    if (this.announced === undefined) return
+    this.detach('endpoint_removed', why, (supervisor, reason) => supervisor.end(reason))
+  }
+
+  /**
+   * Retires the current incarnation: it gets no more work, and its runs are lost one by
+   * one as they are confirmed terminated, beside those of the next incarnation.
+   *
+   * @param why - as for `remove`
+   */
+  retire (why: Reason): void {
+    this.detach('endpoint_retired', why, (supervisor, reason) => supervisor.retire(reason))
+  }
+
+  private detach (event: string, why: Reason, endRuns: (supervisor: EndpointSupervisor, reason: Reason) => void): void {
+    const { announced, current } = this
+    if (announced === undefined || current === undefined) return
     const { log, busyCount, onRemoved, onChange } = this.options
     const reason = this.endReasonOf(why)
-    log('endpoint_removed', { endpoint: this.announced.incarnation, reason, tasks: busyCount() })
-    const supervisor = this.current
+    log(event, { endpoint: announced.incarnation, reason, tasks: busyCount() })
     this.current = undefined
     this.announced = undefined
     onRemoved()
-    supervisor?.end(reason)
+    endRuns(current, reason)
     onChange()
   }
 
--- a/packages/coordination/src/leased/leasedHost.ts
+++ b/packages/coordination/src/leased/leasedHost.ts
@@ -96,7 +96,7 @@
     return this.sessions.configVersion
   }
 
-  /** Begins a new incarnation of the endpoint; all runs of an earlier one have terminated. */
+  /** Begins a new incarnation of the endpoint. An earlier one was retired before, unless its runs are known to have terminated. */
   setEndpoint (announced: AnnouncedIncarnation): void {
     this.speed = new SpeedRecord(this.options.clock)
     this.endpoint.begin(announced)
@@ -107,11 +107,16 @@
     this.endpoint.setCapacity(capacity)
   }
 
-  /** Removes the endpoint, which has ended or must get no more work. */
+  /** Removes the endpoint, which has ended, and all of its runs with it. */
   removeEndpoint (reason: Reason): void {
     this.endpoint.remove(reason)
   }
 
+  /** Retires the endpoint, which says that it ends, or has a successor: it gets no more work, and its runs are lost once each is confirmed terminated. */
+  retireEndpoint (reason: Reason): void {
+    this.endpoint.retire(reason)
+  }
+
   /** The endpoint drains: it gets no more starts, and what runs is finished. */
   drain (): void {
     if (this.endpoint.isDraining) return
@@ -215,7 +220,7 @@
   private stopExpired (): void {
     this.entryLeases.check()
     const isExpired = ({ owner }: OwnedTask): boolean => !this.entryLeases.isValid(owner) && !this.entryLeases.isUnverified(owner)
-    this.tasks.stop(this.endpoint.supervisor, isExpired, REASONS.leaseExpired, ({ owner, key }) =>
+    this.tasks.stop(isExpired, REASONS.leaseExpired, ({ owner, key }) =>
       this.options.log('entry_lease_expired', { job: key.submission, task: key.task, entry: owner }))
     this.refuseStale()
     this.sessions.sweep()
@@ -247,8 +252,7 @@
     if (!this.entryLeases.isValid(owner)) return REASONS.staleStart
     if (this.evacuations.isEvacuated) return REASONS.zoneEvacuated
     if (this.isLeaving || this.endpoint.supervisor?.acceptsStarts !== true) return REASONS.endpointGone
-    const isDuplicate = this.endpoint.supervisor.find(key.submission, key.task) !== undefined || this.tasks.waiting.has(key)
-    return isDuplicate ? REASONS.duplicateStart : undefined
+    return this.tasks.has(key) ? REASONS.duplicateStart : undefined
   }
 
   private startWaiting (): void {
@@ -268,7 +272,7 @@
     const { submission, tasks, lastStart } = revoke
     const matches = ({ owner, key }: OwnedTask): boolean => owner === incarnation && isRevoked(revoke, key)
     const refused = this.tasks.refuse(matches, REASONS.revoked)
-    const stopped = this.tasks.stop(this.endpoint.supervisor, matches, REASONS.revoked)
+    const stopped = this.tasks.stop(matches, REASONS.revoked)
     this.options.log('revoke_received', { job: submission, tasks: tasks.join(','), lastStart, entry: incarnation, refused, stopped })
   }
 
--- a/packages/coordination/tests/leased/fakeEndpoint.ts
+++ b/packages/coordination/tests/leased/fakeEndpoint.ts
@@ -73,6 +73,8 @@
   runMs = 100
   /** Runs end as failed. */
   isFailing = false
+  /** It takes no connections, and goes on with what runs, as before the end of its process. */
+  isPortClosed = false
   crashPlan = NO_CRASHES
   /** Called for each start that is ordered, before it arrives. */
   onOrder: () => void = () => {}
@@ -108,6 +110,7 @@
       return true
     }, false)
     if (this.isDown) return { type: 'unknown', isRefused: this.crashPlan.mode === 'refuse' }
+    if (this.isPortClosed) return { type: 'unknown', isRefused: true }
     if (!isAnswered) {
       await this.clock.sleep(waitMs)
       return { type: 'unknown' }
@@ -151,6 +154,7 @@
     // What is due happens before the call arrives: an endpoint that crashes by then carries nothing out.
     this.tick()
     if (this.isDown) return this.callAfterCrash(name, unanswered)
+    if (this.isPortClosed) return name === 'start' ? { type: 'refused', reason: REASONS.endpointRefused } as T : unanswered
     const fault = this.fault(name)
     if (fault === 'none') return act()
     if (fault === 'answer_lost') act()
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -193,6 +193,23 @@
     this.clock.after(restartAfterMs, () => { if (this.agents[index]!.endpoint === endpoint) this.beginIncarnation(index) })
   }
 
+  /**
+   * The endpoint of an agent announces that it ends, and does so later; till then its tasks
+   * are at work. The next incarnation is announced at once, perhaps beside it, or after the end.
+   *
+   * @param endsAfterMs - time from the announcement to the end
+   * @param hasSuccessor - the next incarnation is announced before the end
+   */
+  leaveEndpoint (index: number, endsAfterMs: number, hasSuccessor: boolean): void {
+    const { host, endpoint } = this.agents[index]!
+    host.retireEndpoint('endpoint_gone')
+    if (hasSuccessor) this.beginIncarnation(index)
+    this.clock.after(endsAfterMs, () => {
+      endpoint.crash()
+      if (!hasSuccessor) this.beginIncarnation(index)
+    })
+  }
+
   /** From now on tasks crash the endpoints that start them, as `crashAfterMs` says, or before they answer the start; each endpoint restarts after `restartAfterMs`. */
   setCrashPlan (crashAfterMs: (submission: string) => number | undefined, mode: CrashMode, restartAfterMs: number, isBeforeAnswer = false): void {
     for (const [index, { endpoint }] of this.agents.entries()) {
