An endpoint's successor at another address does not end its runs

Callers would see a task at work twice at once, where the next endpoint of a machine registers from another port while the one before is still at work. Found by looking for the class of the fault before (something beside the end of a run is taken for it); not seen with the users.

Cause: EndpointRegistry.replaceIfPresent polls the new incarnation at its own address, and then removed the served one with all runs. At the same address that is a proof; at another one both may be at work.

--- a/packages/coordination/tests/leased/leavingEndpoints.test.ts
+++ b/packages/coordination/tests/leased/leavingEndpoints.test.ts
@@ -44,4 +44,24 @@
     expect([...network.jobEnds.values()].map(({ type }) => type)).toEqual(Array(JOBS).fill('complete'))
     expect(left.calls.start).toBe(startsBefore)
   })
+
+  // Guards against a start of the same task by another entry at the next incarnation, which an agent refuses as a duplicate.
+  it('begin at the next incarnation once their runs have terminated, whichever entry sends them', async () => {
+    const network = new LeasedNetwork(2, 1)
+    await network.advance(JOIN_MS)
+    const { endpoint } = network.agents[0]!
+    endpoint.runMs = RUN_MS
+    endpoint.crashPlan = { ...endpoint.crashPlan, mode: 'refuse' }
+    network.submit(0, 'j', 1, { deadlineMs: 20_000 })
+    await network.advance(300)
+    expect(endpoint.openRuns).toHaveLength(1)
+    endpoint.isPortClosed = true
+    network.leaveEndpoint(0, 800, true)
+    await network.advance(50)
+    network.submit(1, 'j', 1, { deadlineMs: 20_000 })
+    await network.advance(8000)
+    expect(overlappingRuns(network.endpoints)).toEqual([])
+    expect(network.endedStartCounts.get('duplicate_start')).toBeGreaterThan(0)
+    expect(network.jobEnds.get('j')?.type).toBe('complete')
+  })
 })
