An agent's report of an endpoint ends only the runs at its address

Callers would see a task at work twice at once after an agent died, where its next process has an endpoint at another address and the one before is still at work.

Cause: RunTerminations took the next process's report for the end of all runs of the earlier one.

Now a start is kept with the address that was known as it was sent, and a report ends the runs at its own address. The others wait for the bound by time, which needs no report.

Three fixtures of other tests name the new field.

--- a/packages/coordination/src/leased/echoLimits.test.ts
+++ b/packages/coordination/src/leased/echoLimits.test.ts
@@ -40,7 +40,7 @@
   it.each(echoCases)('$name', ({ aliveAt, isInFlight, hasOrigin = true, now = 300, expected }) => {
     const { limits, originEntry, agent } = receiveFrames([100, 200, 300], { hasOrigin })
     originEntry.aliveAt = aliveAt
-    if (isInFlight) agent.sent.set('t', { job: jobOf(originEntry), index: 0, attempt: 0, sentAt: 0, endpointIncarnation: '' })
+    if (isInFlight) agent.sent.set('t', { job: jobOf(originEntry), index: 0, attempt: 0, sentAt: 0, endpointIncarnation: '', endpointAddress: '' })
     expect(limits.stampToEcho(agent, now)).toBe(expected + CLOCK_AHEAD_MS)
   })
 
--- a/packages/coordination/src/leased/leasedAgent.ts
+++ b/packages/coordination/src/leased/leasedAgent.ts
@@ -14,6 +14,8 @@
   sentAt: number
   /** Incarnation of the agent's endpoint that was known when the start was sent. */
   endpointIncarnation: string
+  /** Its address; only one incarnation can be there at a time. */
+  endpointAddress: string
 }
 
 /** State of an entry's exchange of configuration documents with one agent. */
@@ -50,6 +52,8 @@
   service = ''
   /** Incarnation of the endpoint; empty until the agent has confirmed that nothing of an earlier agent process runs there. */
   endpointIncarnation = ''
+  /** Address of the endpoint, as the agent calls it; empty with the incarnation. */
+  endpointAddress = ''
   /** Whole capacity of the endpoint. */
   capacity = NO_CAPACITY
   /** Unset without a session. */
@@ -147,10 +151,11 @@
   }
 
   /** Handles the endpoint that the agent reported; an empty service means that it has none. */
-  setEndpoint ({ service, incarnation, capacity }: EndpointState): void {
+  setEndpoint ({ service, incarnation, address, capacity }: EndpointState): void {
     this.hasReportedEndpoint = true
     this.service = service
     this.endpointIncarnation = incarnation
+    this.endpointAddress = address
     this.capacity = capacity ?? NO_CAPACITY
     if (service !== '') return
     this.reportedFree = NO_CAPACITY
--- a/packages/coordination/src/leased/leasedSender.ts
+++ b/packages/coordination/src/leased/leasedSender.ts
@@ -123,7 +123,8 @@
     task.state = LEASED_TASK_STATES.sent
     job.unterminatedRuns++
     job.mayHaveRun++
-    agent.sent.set(key, { job, index, attempt: task.attempt, sentAt: clock.now(), endpointIncarnation: agent.endpointIncarnation })
+    const { endpointIncarnation, endpointAddress } = agent
+    agent.sent.set(key, { job, index, attempt: task.attempt, sentAt: clock.now(), endpointIncarnation, endpointAddress })
     fleet.healthOf(agent)?.sent(agent.agentId)
     fleet.serviceOf(job.service).load.onStarted(job.priority, job.need.cpuMilli * job.expectedMs)
   }
--- a/packages/coordination/src/leased/reconcileRuns.test.ts
+++ b/packages/coordination/src/leased/reconcileRuns.test.ts
@@ -20,7 +20,7 @@
   return job
 }
 
-const sentRun = (job: LeasedJob): SentRun => ({ job, index: 0, attempt: 0, sentAt: 0, endpointIncarnation: '' })
+const sentRun = (job: LeasedJob): SentRun => ({ job, index: 0, attempt: 0, sentAt: 0, endpointIncarnation: '', endpointAddress: '' })
 
 const OPEN = createJob(undefined, false)
 const MOVING = createJob(undefined, true)
--- a/packages/coordination/src/leased/runTerminations.ts
+++ b/packages/coordination/src/leased/runTerminations.ts
@@ -19,7 +19,8 @@
 
 /**
  * Determines when runs without a result have terminated: by the time since their agent
- * was heard, or by the report of the agent's next process that nothing runs there.
+ * was heard, or by the report of the agent's next process that nothing runs at the address
+ * of their endpoint.
  */
 export class RunTerminations {
   /** Agent processes that were replaced by a later one, until their runs are confirmed terminated. */
@@ -32,9 +33,14 @@
     if (agent.sent.size > 0) this.replacedAgents.add(agent)
   }
 
-  /** An agent process reported an endpoint, as it does only once nothing of an earlier process runs there. */
-  onEndpointReported ({ agentId }: LeasedAgent): void {
-    for (const earlier of [...this.replacedAgents]) if (earlier.agentId === agentId) this.loseRuns(earlier)
+  /**
+   * An agent process reported an endpoint, as it does only once nothing of an earlier process
+   * runs at that address. Of an endpoint at another address it knows nothing.
+   */
+  onEndpointReported ({ agentId, endpointAddress }: LeasedAgent): void {
+    for (const earlier of [...this.replacedAgents]) {
+      if (earlier.agentId === agentId) this.loseRuns(earlier, (sent) => sent.endpointAddress === endpointAddress)
+    }
   }
 
   /** Ends the runs of all agents that were silent for too long. */
@@ -48,14 +54,14 @@
     const silentMs = now - agent.receivedAt
     if (silentMs < terminationBoundMs(times)) return
     if (agent.sent.size > 0) onSilent(agent, silentMs)
-    this.loseRuns(agent)
+    this.loseRuns(agent, () => true)
     onGone(agent)
   }
 
-  private loseRuns (agent: LeasedAgent): void {
-    this.replacedAgents.delete(agent)
-    const runs = [...agent.sent.values()]
-    agent.sent.clear()
-    for (const sent of runs) this.options.onLost(agent, sent, REASONS.agentLost)
+  private loseRuns (agent: LeasedAgent, isTerminated: (sent: SentRun) => boolean): void {
+    const terminated = [...agent.sent].filter(([, sent]) => isTerminated(sent))
+    for (const [key] of terminated) agent.sent.delete(key)
+    if (agent.sent.size === 0) this.replacedAgents.delete(agent)
+    for (const [, sent] of terminated) this.options.onLost(agent, sent, REASONS.agentLost)
   }
 }
--- a/packages/coordination/tests/leased/fakeEndpoint.ts
+++ b/packages/coordination/tests/leased/fakeEndpoint.ts
@@ -73,6 +73,8 @@
   runMs = 100
   /** Runs end as failed. */
   isFailing = false
+  /** Only one incarnation can be at an address. */
+  address = ''
   /** It takes no connections, and goes on with what runs, as before the end of its process. */
   isPortClosed = false
   crashPlan = NO_CRASHES
--- a/packages/coordination/tests/leased/leasedNetwork.ts
+++ b/packages/coordination/tests/leased/leasedNetwork.ts
@@ -179,6 +179,14 @@
     if (restarts) this.agents[index] = this.newAgent(agent.endpoint, index)
   }
 
+  /** Ends the process of an agent. Its endpoint goes on with what runs; the next process, which starts at once, has another endpoint. */
+  replaceAgentAndEndpoint (index: number, address: string): void {
+    const { runMs, crashPlan } = this.agents[index]!.endpoint
+    this.killAgent(index, false)
+    const endpoint = Object.assign(new FakeEndpoint(this.clock, () => TASK_CPU_MILLI), { runMs, crashPlan, address })
+    this.agents[index] = this.newAgent(endpoint, index)
+  }
+
   /** Crashes the endpoint of an agent; the next incarnation is announced at once and knows nothing of the earlier one. */
   restartEndpoint (index: number): void {
     this.agents[index]!.endpoint.crash()
@@ -279,7 +287,7 @@
     host.setEndpoint({
       service: 's',
       incarnation: `i${this.endpoints.indexOf(endpoint)}`,
-      address: '',
+      address: endpoint.address,
       capacity: Number.isFinite(endpoint.announcedCpuMilli) ? { ...this.capacity, cpuMilli: endpoint.announcedCpuMilli } : this.capacity,
       // Calls of a dead process reach nothing and never return.
       endpoint: {
--- a/packages/coordination/tests/leased/unverifiedLeases.test.ts
+++ b/packages/coordination/tests/leased/unverifiedLeases.test.ts
@@ -176,7 +176,7 @@
     this.agent = this.sessions.open(create(HelloSchema, { agentId: 'a', incarnation: 'i', zone: 'z' }), this.link)
     // An agent lists its tasks in the first frame of a session; before that nothing is echoed.
     this.receiveFrame({ resume: create(ResumeSchema) })
-    this.agent.sent.set('task', { job: undefined as never, index: 0, attempt: 0, sentAt: 1000, endpointIncarnation: '' })
+    this.agent.sent.set('task', { job: undefined as never, index: 0, attempt: 0, sentAt: 1000, endpointIncarnation: '', endpointAddress: '' })
   }
 
   /** Receives a frame of the agent. */
