The takeover of an endpoint from earlier agents has a module of its own

Change: stopEarlierRuns.ts, a function that tells how it ended; nothing else. Its poll's answer no longer counts once the incarnation has ended meanwhile.

--- a/packages/coordination/src/leased/endpointSupervisor.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.ts
@@ -8,11 +8,10 @@
 import { taskNameOf } from './inFlightRun.js'
 import type { AttemptOutcome, InFlightRun } from './inFlightRun.js'
 import { RunLease } from './runLease.js'
+import { stopEarlierRuns } from './stopEarlierRuns.js'
 import { RUN_ENDS } from './types.js'
 import type { ListedEnd, PollOutcome, RunRef } from './types.js'
 
-/** Pause between polls that check whether the runs of an earlier agent have terminated. */
-const TAKEOVER_PAUSE_MS = 25
 /** Longest wait of a poll that does not renew the run lease: a renewal is due as soon as the entry lease is verified, or the stop answered, that prevents it. */
 const UNRENEWED_WAIT_MS = 25
 /** How often an immediate poll is sent if it is not answered; after that, the next regular poll lists the same. */
@@ -176,7 +175,7 @@
 
   /** The sequence of regular polls, from the takeover until the incarnation ends. */
   private async keepPolling (): Promise<void> {
-    await this.stopEarlierRuns()
+    await this.takeOver()
     while (!this.isEnded) {
       // An unresponsive endpoint gets no starts, so only polls can show that it answers again.
       const isIdle = this.inFlight.size === 0 && !this.responsiveness.isUnresponsive
@@ -184,27 +183,14 @@
     }
   }
 
-  /** Stops the runs of earlier agents without renewing their lease; nothing starts before they have terminated. */
-  private async stopEarlierRuns (): Promise<void> {
-    const { clock, endpoint, log, onReady } = this.options
-    let late: PollOutcome | undefined
-    const onLate = (outcome: PollOutcome): void => { late = outcome }
-    while (!this.isEnded) {
-      const inTime = await endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0, onLate })
-      const outcome = inTime.type === 'unknown' ? late ?? inTime : inTime
-      late = undefined
-      if (outcome.type === 'gone') return this.onGone()
-      if (outcome.type === 'listed') {
-        for (const { seq } of outcome.ended) this.lastSeen = Math.max(this.lastSeen, seq)
-        if (outcome.running.length === 0) {
-          this.isReady = true
-          return onReady()
-        }
-        log('left_by_earlier_agent', { runs: outcome.running.length })
-        await Promise.all(outcome.running.map((run) => endpoint.stop(run)))
-      }
-      await clock.sleep(TAKEOVER_PAUSE_MS)
-    }
+  /** Nothing starts before the runs of earlier agents have terminated. */
+  private async takeOver (): Promise<void> {
+    const outcome = await stopEarlierRuns({ ...this.options, isEnded: () => this.isEnded })
+    if (outcome.type === 'gone') return this.onGone()
+    if (outcome.type === 'ended') return
+    this.lastSeen = outcome.lastSeen
+    this.isReady = true
+    this.options.onReady()
   }
 
   private async untilBusy (): Promise<void> {
