Runs in flight, and what polls prove of them, have a module of their own

Cause: the endpoint supervisor both kept the calls of an endpoint going and judged from their answers which runs have terminated. Change: InFlightRuns has the runs and the judgement, the supervisor the calls and the leases. No behaviour changes.

--- a/packages/coordination/src/leased/endpointSupervisor.ts
+++ b/packages/coordination/src/leased/endpointSupervisor.ts
@@ -5,12 +5,11 @@
 import { EndpointResponsiveness } from './endpointResponsiveness.js'
 import type { EndpointSupervisorOptions } from './endpointSupervisorOptions.js'
 import { FreeCapacity } from './freeCapacity.js'
-import { taskNameOf } from './inFlightRun.js'
 import type { AttemptOutcome, InFlightRun } from './inFlightRun.js'
+import { InFlightRuns } from './inFlightRuns.js'
 import { RunLease } from './runLease.js'
 import { stopEarlierRuns } from './stopEarlierRuns.js'
-import { RUN_ENDS } from './types.js'
-import type { ListedEnd, PollOutcome, RunRef } from './types.js'
+import type { PollOutcome, RunRef } from './types.js'
 
 /** Longest wait of a poll that does not renew the run lease: a renewal is due as soon as the entry lease is verified, or the stop answered, that prevents it. */
 const UNRENEWED_WAIT_MS = 25
@@ -28,13 +27,6 @@
 } as const
 type RetirementProof = typeof RETIREMENT_PROOFS[keyof typeof RETIREMENT_PROOFS]
 
-/**
- * The reason that is reported for a run that ended with its endpoint. A task crashes an
- * endpoint only once it has begun there, so a crash before that is told apart.
- */
-const reasonOfLoss = ({ hasBegun }: InFlightRun, reason: Reason): Reason =>
-  reason === REASONS.endpointCrashed && !hasBegun ? REASONS.endpointCrashedAtStart : reason
-
 /**
  * Supervises all runs of one endpoint incarnation: orders starts within its
  * capacity, renews the run lease by polling, and confirms which runs have terminated.
@@ -46,13 +38,8 @@
  * its tasks are at work until that.
  */
 export class EndpointSupervisor {
-  private readonly inFlight = new Map<string, InFlightRun>()
+  private readonly inFlight: InFlightRuns
   private readonly orders: EndpointOrders
-  /** Highest sequence number of the ends that were read. */
-  private lastSeen = 0
-  private pollCount = 0
-  /** Number of the newest poll whose answer was read. */
-  private lastAnsweredPoll = 0
   private readonly lease: RunLease
   private readonly responsiveness: EndpointResponsiveness
   private isPolling = false
@@ -66,19 +53,24 @@
   readonly remaining: FreeCapacity
 
   constructor (private readonly options: EndpointSupervisorOptions) {
-    this.remaining = new FreeCapacity(options.capacity, this.inFlight)
-    this.lease = new RunLease({ ...options, inFlight: this.inFlight })
+    this.inFlight = new InFlightRuns({
+      hasExpiredAt: (time) => this.lease.hasExpiredAt(time),
+      onTerminated: () => this.onTerminated(),
+      onOrphan: (run) => { void this.stopOrphan(run) }
+    })
+    this.remaining = new FreeCapacity(options.capacity, this.inFlight.byTask)
+    this.lease = new RunLease({ ...options, inFlight: this.inFlight.byTask })
     this.responsiveness = new EndpointResponsiveness(options.clock, options.pollWaitMs)
     this.orders = new EndpointOrders({
       ...options,
       responsiveness: this.responsiveness,
-      isInFlight: (run) => !this.isEnded && this.isInFlight(run),
+      isInFlight: (run) => !this.isEnded && this.inFlight.has(run),
       isEnded: () => this.isEnded,
       mayStart: () => !this.isRetired && options.mayStart() && !this.remaining.isOvercommitted && !this.lease.isHoldingStarts,
       leaseForStart: () => this.lease.leaseForStart(),
-      onResolved: (run) => { run.resolvedAtPoll = this.pollCount },
+      onResolved: (run) => this.inFlight.onResolved(run),
       onStopAnswered: (run) => { run.isStopAnswered = true },
-      onTerminated: (run, outcome) => this.onTerminated(run, outcome),
+      onTerminated: (run, outcome) => this.inFlight.terminate(run, outcome),
       onGone: () => this.onGone(),
       poll: () => { void this.pollNow() }
     })
@@ -112,7 +104,7 @@
     const run: InFlightRun = {
       ...ref, payload, need, hasBegun: false, stopReason: undefined, isStopAnswered: false, resolvedAtPoll: undefined, startedAt: this.options.clock.now(), onTerminated
     }
-    this.inFlight.set(taskNameOf(ref), run)
+    this.inFlight.add(run)
     void this.orders.start(run)
     this.wake?.()
     return run
@@ -136,7 +128,7 @@
     if (this.isEnded || this.isRetired) return
     if (this.inFlight.size === 0) return this.end(reason)
     this.retirement = { at: this.options.clock.now(), reason }
-    for (const run of this.inFlight.values()) this.stop(run, REASONS.endpointGone)
+    for (const run of this.inFlight.byTask.values()) this.stop(run, REASONS.endpointGone)
     // Ends that are listed already count before its process is gone.
     void this.pollNow()
   }
@@ -147,7 +139,7 @@
     this.isEnded = true
     this.wake?.()
     this.responsiveness.releaseWaiters()
-    this.loseAll(reason)
+    this.inFlight.loseAll(reason)
   }
 
   /** Polls at once without renewal, beside the regular poll that waits for an end; a request during such a poll causes another one. */
@@ -157,13 +149,13 @@
     this.isPolling = true
     for (let unanswered = 0; this.mustPollAgain && unanswered < MAX_POLL_TRIES && !this.isEnded;) {
       this.mustPollAgain = false
-      const poll = ++this.pollCount
+      const poll = this.inFlight.onPollSent()
       const sentAt = this.options.clock.now()
       const onLate = (late: PollOutcome): void => this.onLateAnswer(poll, sentAt, late)
-      const outcome = await this.options.endpoint.poll({ runLeaseMs: undefined, lastSeen: this.lastSeen, waitMs: 0, onLate })
+      const outcome = await this.options.endpoint.poll({ runLeaseMs: undefined, lastSeen: this.inFlight.lastSeen, waitMs: 0, onLate })
       if (this.isEnded) break
       if (outcome.type === 'gone') this.onGone()
-      else if (outcome.type === 'listed') this.reconcile(poll, sentAt, outcome)
+      else if (outcome.type === 'listed') this.inFlight.reconcile(poll, sentAt, outcome)
       else {
         this.responsiveness.onCallLost()
         this.mustPollAgain = true
@@ -188,7 +180,7 @@
     const outcome = await stopEarlierRuns({ ...this.options, isEnded: () => this.isEnded })
     if (outcome.type === 'gone') return this.onGone()
     if (outcome.type === 'ended') return
-    this.lastSeen = outcome.lastSeen
+    this.inFlight.lastSeen = outcome.lastSeen
     this.isReady = true
     this.options.onReady()
   }
@@ -201,7 +193,7 @@
   private async pollOnce (): Promise<void> {
     const { clock, endpoint, beforeRenewal } = this.options
     beforeRenewal()
-    const poll = ++this.pollCount
+    const poll = this.inFlight.onPollSent()
     const sentAt = clock.now()
     const { isUnresponsive, pollWaitMs } = this.responsiveness
     const isUnverified = this.options.isUnverified?.() === true
@@ -209,7 +201,7 @@
     const runLeaseMs = isUnresponsive || !mayRenew ? undefined : this.lease.renew()
     const waitMs = mayRenew ? pollWaitMs : Math.min(UNRENEWED_WAIT_MS, pollWaitMs)
     const onLate = (late: PollOutcome): void => this.onLateAnswer(poll, sentAt, late)
-    const outcome = await endpoint.poll({ runLeaseMs, lastSeen: this.lastSeen, waitMs, onLate })
+    const outcome = await endpoint.poll({ runLeaseMs, lastSeen: this.inFlight.lastSeen, waitMs, onLate })
     if (this.isEnded) return
     if (outcome.type === 'gone') return this.onGone()
     if (outcome.type === 'unknown') this.onPollUnanswered(sentAt, outcome.isRefused === true)
@@ -227,7 +219,7 @@
   private onPollAnswered (poll: number, sentAt: number, outcome: PollOutcome & { type: 'listed' }): void {
     const wasUnresponsive = this.responsiveness.isUnresponsive
     this.responsiveness.onPollAnswered()
-    this.reconcile(poll, sentAt, outcome)
+    this.inFlight.reconcile(poll, sentAt, outcome)
     if (wasUnresponsive) this.options.onCapacityFreed()
   }
 
@@ -239,7 +231,7 @@
     }
     if (!this.lease.hasExpiredAt(clock.now())) return
     if (this.retirement !== undefined) this.endRetired(this.retirement, RETIREMENT_PROOFS.expired)
-    else if (this.responsiveness.isUnresponsive) this.loseAll(this.reasonOfSilence)
+    else if (this.responsiveness.isUnresponsive) this.inFlight.loseAll(this.reasonOfSilence)
   }
 
   /** The last run of the retired incarnation is confirmed terminated. */
@@ -254,45 +246,12 @@
     return this.responsiveness.isRefusingConnections ? endReason() : REASONS.endpointReset
   }
 
-  private loseAll (reason: Reason): void {
-    for (const run of [...this.inFlight.values()]) this.onTerminated(run, { type: 'lost', reason: reasonOfLoss(run, reason) })
-  }
-
-  /** Confirms the termination of runs that the answer lists as ended or does not list, and stops listed runs that are unknown. */
-  private reconcile (poll: number, sentAt: number, { running, ended }: PollOutcome & { type: 'listed' }): void {
-    for (const end of ended) this.onListedEnd(end)
-    const listed = new Set(running.map(({ run, ...ref }) => `${taskNameOf(ref)}#${run}`))
-    // An order without an answer can't be carried out any more either, as the endpoint refuses what comes after the lease that it carries.
-    const hasExpired = this.lease.hasExpiredAt(sentAt)
-    for (const run of [...this.inFlight.values()]) {
-      const isListed = listed.has(`${taskNameOf(run)}#${run.run}`)
-      run.hasBegun ||= isListed
-      const isResolved = hasExpired || (run.resolvedAtPoll !== undefined && poll > run.resolvedAtPoll)
-      if (!isResolved || isListed) continue
-      const reason = run.stopReason ?? REASONS.leaseExpired
-      this.onTerminated(run, reason === REASONS.orderUnanswered ? { type: 'not_started', reason } : { type: 'lost', reason })
-    }
-    // An answer that arrives after that of a later poll may list runs that have ended since.
-    if (poll < this.lastAnsweredPoll) return
-    this.lastAnsweredPoll = poll
-    for (const run of running) if (!this.inFlight.has(taskNameOf(run))) void this.stopOrphan(run)
-  }
-
   /** Stops a run that is not in flight: this agent considers it terminated, or an earlier agent ordered it. */
   private async stopOrphan (run: RunRef): Promise<void> {
     this.options.log('orphaned_run', { job: run.submission, task: run.index, run: run.run })
     await this.options.endpoint.stop(run)
   }
 
-  private onListedEnd (end: ListedEnd): void {
-    if (end.seq <= this.lastSeen) return
-    this.lastSeen = end.seq
-    const run = this.inFlight.get(taskNameOf(end))
-    if (run?.run !== end.run) return
-    const wasStopped = run.stopReason !== undefined && end.how !== RUN_ENDS.done && end.how !== RUN_ENDS.failed
-    this.onTerminated(run, wasStopped ? { type: 'lost', reason: run.stopReason! } : { type: 'ended', how: end.how })
-  }
-
   private onGone (): void {
     if (this.isEnded) return
     if (this.retirement !== undefined) return this.endRetired(this.retirement, RETIREMENT_PROOFS.replaced)
@@ -300,14 +259,7 @@
     this.options.onGone()
   }
 
-  private isInFlight (run: InFlightRun): boolean {
-    return this.inFlight.get(taskNameOf(run)) === run
-  }
-
-  private onTerminated (run: InFlightRun, outcome: AttemptOutcome): void {
-    if (!this.isInFlight(run)) return
-    this.inFlight.delete(taskNameOf(run))
-    run.onTerminated(outcome)
+  private onTerminated (): void {
     this.options.onCapacityFreed()
     if (this.retirement !== undefined && !this.isEnded && this.inFlight.size === 0) this.endRetired(this.retirement, RETIREMENT_PROOFS.listed)
   }
