Model: an endpoint announces its end, and ends in a later step

Cause: the model had no endpoint that leaves, so an announcement that is taken for an end could not be shown wrong there. Change: LEAVES in lease.pml, two budgets (with a late order; with an agent that dies and whose next process reports another address), three guards.

--- a/model/lease.pml
+++ b/model/lease.pml
@@ -28,6 +28,12 @@
  * may leave a living entry (its connection broke), which asks the agent to end the run
  * (revoke). With MAX_UNNOTICED, the entry learns up to so many ticks later that its
  * caller has left, and acts meanwhile as before.
+ *
+ * With LEAVES, an endpoint may announce that it ends, and ends at any time after that; its
+ * next incarnation begins later, or registers from another address before. The agent
+ * orders and renews nothing at an endpoint that leaves, and counts its runs as terminated
+ * by the endpoint's list, by the next incarnation in its place, or by time. What the next
+ * incarnation runs beside one that leaves is not modelled.
  */
 
 #ifndef ENTRY_LEASE
@@ -52,6 +58,10 @@
 #define MAX_RESTARTS 0  /* of endpoints, under the same id */
 #endif
 
+#ifndef MAX_LEAVES
+#define MAX_LEAVES 1    /* of endpoints */
+#endif
+
 #ifndef MAX_SESSIONS
 #define MAX_SESSIONS 2  /* that begin after the first one of each pair */
 #endif
@@ -121,6 +131,14 @@
 #define IS_REVOKE_NEXT(a, e) false
 #define HAS_CALLER_TO_RESEND (!entryUp[0] && jobOwner == NONE)
 #endif
+#ifdef LEAVES
+#define PRESENT 0       /* an endpoint that has not announced its end */
+#define LEAVING 1       /* it has, and its run may be in progress */
+#define ENDED 2         /* its next incarnation is not known yet */
+#define IS_PRESENT(a) (endpointPhase[a] == PRESENT)
+#else
+#define IS_PRESENT(a) true
+#endif
 /* The entry has the job, or has not learned yet that its caller has left. */
 #define WANTS_JOB(e) (jobOwner == (e) || ((e) == 0 && HAS_LEFT_UNNOTICED))
 
@@ -133,6 +151,11 @@
 byte highestToken[NA];         /* orders with a lower token are rejected */
 bool isIncarnationUnknown[NA]; /* it has started again, and its agent does not know the new incarnation yet */
 
+#ifdef LEAVES
+byte endpointPhase[NA];
+byte leaveCount;
+#endif
+
 /* A start order of the agent that was not answered; it may still be carried out. */
 bool isOrderLate[NA];
 byte lateOwner[NA], lateLeaseEnd[NA], lateToken[NA];
@@ -193,6 +216,14 @@
   if :: sentTo[NE - 1] == a && !orderInTransit[PAIR(a, NE - 1)] -> sentTo[NE - 1] = NONE :: else fi
 }
 
+#ifdef LEAVES
+/* The runs at the agent's endpoint count as terminated. */
+inline loseRuns(a) {
+  if :: sentTo[0] == a && !orderInTransit[PAIR(a, 0)] -> sentTo[0] = NONE :: else fi;
+  if :: sentTo[NE - 1] == a && !orderInTransit[PAIR(a, NE - 1)] -> sentTo[NE - 1] = NONE :: else fi
+}
+#endif
+
 /* Stops a run whose entry lease has expired. */
 inline expireRun(a) {
   if
@@ -499,8 +530,8 @@
         orderEcho[PAIR(a, e)] = 0;
         if
 #ifndef NO_START_CHECK
-        :: entryLeaseEnd[PAIR(a, e)] < AGENT_NOW(a) || IS_UNVERIFIED(a, e) || !hasJoined[a] -> if :: sentTo[e] == a -> sentTo[e] = NONE :: else fi
-        :: entryLeaseEnd[PAIR(a, e)] >= AGENT_NOW(a) && !IS_UNVERIFIED(a, e) && hasJoined[a] ->
+        :: entryLeaseEnd[PAIR(a, e)] < AGENT_NOW(a) || IS_UNVERIFIED(a, e) || !hasJoined[a] || !IS_PRESENT(a) -> if :: sentTo[e] == a -> sentTo[e] = NONE :: else fi
+        :: entryLeaseEnd[PAIR(a, e)] >= AGENT_NOW(a) && !IS_UNVERIFIED(a, e) && hasJoined[a] && IS_PRESENT(a) ->
 #else
         :: true ->
 #endif
@@ -531,7 +562,7 @@
 #endif
         sentTo[e] = NONE
      /* The agent renews the run lease by a poll; a run whose entry lease has expired is stopped first. */
-     :: agentUp[a] && hasJoined[a] && !IS_OTHER_INCARNATION(a) && (entryLeaseEnd[PAIR(a, 0)] >= AGENT_NOW(a) || entryLeaseEnd[PAIR(a, NE - 1)] >= AGENT_NOW(a)) ->
+     :: agentUp[a] && hasJoined[a] && IS_PRESENT(a) && !IS_OTHER_INCARNATION(a) && (entryLeaseEnd[PAIR(a, 0)] >= AGENT_NOW(a) || entryLeaseEnd[PAIR(a, NE - 1)] >= AGENT_NOW(a)) ->
 #ifdef SUSPENSIONS
         checkAgentClocks(a);
 #endif
@@ -557,7 +588,7 @@
         :: else /* a run with this number is there or has ended there */
         fi
      /* The agent orders the same run again, and the order is answered. */
-     :: agentUp[a] && hasJoined[a] && isOrderLate[a] && !isRepeated[a] && sentTo[lateOwner[a]] == a && !orderInTransit[PAIR(a, lateOwner[a])] &&
+     :: agentUp[a] && hasJoined[a] && IS_PRESENT(a) && isOrderLate[a] && !isRepeated[a] && sentTo[lateOwner[a]] == a && !orderInTransit[PAIR(a, lateOwner[a])] &&
         !running[a] && agentToken[a] == lateToken[a] &&
 #ifndef NO_REPEAT_CHECK
         entryLeaseEnd[PAIR(a, lateOwner[a])] >= AGENT_NOW(a) &&
@@ -598,7 +629,7 @@
         orderInTransit[PAIR(a, 0)] = false; orderInTransit[PAIR(a, NE - 1)] = false;
         orderEcho[PAIR(a, 0)] = 0; orderEcho[PAIR(a, NE - 1)] = 0;
         stampReceived[PAIR(a, 0)] = 0; stampReceived[PAIR(a, NE - 1)] = 0
-     :: agentUp[a] && !hasJoined[a] ->
+     :: agentUp[a] && !hasJoined[a] && IS_PRESENT(a) ->
         hasJoined[a] = true;
         isIncarnationUnknown[a] = false;
         highestToken[a] = agentToken[a];
@@ -609,7 +640,7 @@
         if :: sentTo[0] == a && !orderInTransit[PAIR(a, 0)] -> sentTo[0] = NONE :: else fi;
         if :: sentTo[NE - 1] == a && !orderInTransit[PAIR(a, NE - 1)] -> sentTo[NE - 1] = NONE :: else fi
      /* The endpoint crashes and starts again under its id: nothing runs, and no token was received. */
-     :: restartCount < MAX_RESTARTS && !isIncarnationUnknown[a] ->
+     :: restartCount < MAX_RESTARTS && IS_PRESENT(a) && !isIncarnationUnknown[a] ->
         restartCount++;
         running[a] = false;
         isOrderLate[a] = false;
@@ -618,6 +649,41 @@
         isIncarnationUnknown[a] = true
      /* A heartbeat or a new connection announces the new incarnation to the agent. */
      :: agentUp[a] && hasJoined[a] && isIncarnationUnknown[a] -> learnIncarnation(a); highestToken[a] = agentToken[a]
+#ifdef LEAVES
+     /* The endpoint announces that it ends. */
+     :: leaveCount < MAX_LEAVES && agentUp[a] && hasJoined[a] && IS_PRESENT(a) && !isIncarnationUnknown[a] ->
+        leaveCount++;
+        endpointPhase[a] = LEAVING;
+#ifdef NO_END_PROOF
+        loseRuns(a)
+#endif
+     /* A poll lists nothing, after the stop of what may still begin there. */
+     :: agentUp[a] && hasJoined[a] && endpointPhase[a] == LEAVING && !running[a] && !isOrderLate[a] -> loseRuns(a)
+     /* All that was ordered or renewed there has expired. */
+     :: agentUp[a] && hasJoined[a] && !IS_PRESENT(a) && now > runLeaseEnd[a] &&
+#ifndef NO_UNANSWERED_LEASE
+        !(isOrderLate[a] && lateLeaseEnd[a] >= now) &&
+#endif
+        true -> loseRuns(a)
+     /* It ends, and with it what ran there. */
+     :: endpointPhase[a] == LEAVING ->
+        endpointPhase[a] = ENDED;
+        running[a] = false;
+        isOrderLate[a] = false;
+        runLeaseEnd[a] = 0;
+        highestToken[a] = 0
+     /* Its next incarnation answers in its place. */
+     :: agentUp[a] && endpointPhase[a] == ENDED ->
+        endpointPhase[a] = PRESENT;
+        if :: hasJoined[a] -> loseRuns(a); highestToken[a] = agentToken[a] :: else fi
+     /* A later process of the agent reports the next incarnation, at another address than that of the one that leaves. */
+     :: agentUp[a] && !hasJoined[a] && endpointPhase[a] == LEAVING ->
+#ifdef NO_ADDRESS_CHECK
+        loseRuns(a)
+#else
+        skip
+#endif
+#endif
 #ifdef SESSIONS
      /* An agent begins a session with the first entry; the earlier one has broken. */
      :: e == 0 && MAY_RECEIVE(a, 0) && agentUp[a] && hasJoined[a] && sessionCount < MAX_SESSIONS -> sessionCount++; beginListedSession(a)
