--- a/packages/common/src/createMetrics.ts
+++ b/packages/common/src/createMetrics.ts
@@ -10,8 +10,9 @@
 /** A registry and the functions that create metrics in it. */
 export interface Metrics {
   registry: Registry
-  counter: (options: MetricOptions) => Counter
-  /** `collect` is called at each scrape. */
+  /** `collect`, if given, is called at each scrape. */
+  counter: (options: MetricOptions, collect?: (counter: Counter) => void) => Counter
+  /** `collect`, if given, is called at each scrape. */
   gauge: (options: MetricOptions, collect?: (gauge: Gauge) => void) => Gauge
   histogram: (options: MetricOptions & { buckets: readonly number[] }) => Histogram
 }
@@ -33,7 +34,10 @@
     ({ name, help, labelNames: [...labels], registers: [registry] })
   return {
     registry,
-    counter: (options) => new Counter(toConfiguration(options)),
+    counter: (options, collect) => new Counter({
+      ...toConfiguration(options),
+      ...(collect && { collect () { collect(this) } })
+    }),
     gauge: (options, collect) => new Gauge({
       ...toConfiguration(options),
       ...(collect && { collect () { collect(this) } })
--- a/packages/sessions/src/dialEntry.ts
+++ b/packages/sessions/src/dialEntry.ts
@@ -22,6 +22,8 @@
   clusterToken: string
   /** Watches all sessions of the process. */
   keepAliveMonitor: KeepAliveMonitor
+  /** Called for each frame, for metrics. */
+  onFrame?: (direction: 'received' | 'sent') => void
   /** Called when a session timed out, for metrics. */
   onTimedOut?: (silence: Silence) => void
 }
@@ -44,10 +46,11 @@
 const openOutbox = (): Outbox<AgentFrame> => new Outbox<AgentFrame>(() => create(AgentFrameSchema), () => yieldTurn())
 
 /** Fills in each frame only when it is sent, so that its timestamp is current. */
-async function * filledFrames (host: SessionHost, outbox: Outbox<AgentFrame>, peer: Peer, add: AddToFrame, watch: SessionWatch): AsyncGenerator<AgentFrame> {
+async function * filledFrames ({ host, onFrame }: DialOptions, outbox: Outbox<AgentFrame>, peer: Peer, add: AddToFrame, watch: SessionWatch): AsyncGenerator<AgentFrame> {
   for await (const frame of outbox) {
     host.fillFrame(peer.incarnation, add, frame)
     watch.onSent()
+    onFrame?.('sent')
     yield frame
   }
 }
@@ -68,7 +71,7 @@
  * @param handle - by which the dialer ends the session and is notified of its events
  */
 export const dialEntry = async (address: string, options: DialOptions, handle: DialHandle): Promise<void> => {
-  const { host, agentId, incarnation, zone, keepAliveMonitor, onTimedOut } = options
+  const { host, agentId, incarnation, zone, keepAliveMonitor, onFrame, onTimedOut } = options
   const outbox = openOutbox()
   const add: AddToFrame = (change) => outbox.add(change)
   const ending = new AbortController()
@@ -98,8 +101,9 @@
   const connection = openConnection(address, [addToken(options.clusterToken)])
   const client = createClient(SessionService, connection.transport)
   try {
-    for await (const frame of client.open(filledFrames(host, outbox, peer, add, watch), { signal })) {
+    for await (const frame of client.open(filledFrames(options, outbox, peer, add, watch), { signal })) {
       watch.onReceived()
+      onFrame?.('received')
       if (frame.welcome !== undefined) {
         if (!handle.isNeeded()) break
         peer.incarnation = frame.welcome.incarnation
