--- a/scripts/placeRuntime.js
+++ b/scripts/placeRuntime.js
@@ -6,7 +6,8 @@
 import { join } from 'node:path'
 import { parse } from 'smol-toml'
 
-const DEPLOY_FILE = 'deploy/system.toml'
+/** Says how the platform builds and runs the roles. */
+export const DEPLOY_FILE = 'deploy/system.toml'
 
 /**
  * Finds the binary of the pinned Node.js package, or the Node.js that runs this
--- a/tests/runtime.test.ts
+++ b/tests/runtime.test.ts
@@ -1,6 +1,6 @@
-import { spawn } from 'node:child_process'
+import { execFileSync, spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { mkdtempSync, readdirSync } from 'node:fs'
+import { mkdtempSync, readFileSync, readdirSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { describe, expect, it } from 'vitest'
@@ -8,7 +8,7 @@
 // The build places the Node.js binary that runs the roles. If it rejects a flag of a role
 // or its package is missing, the build must report it: otherwise processes never start.
 
-const { checkFlags, findRuntime, placeRuntime, readRoleFlags } = await import(new URL('../scripts/placeRuntime.js', import.meta.url).href)
+const { DEPLOY_FILE, checkFlags, findRuntime, placeRuntime, readRoleFlags } = await import(new URL('../scripts/placeRuntime.js', import.meta.url).href)
 
 describe('the runtime of the roles', () => {
   it.each([
@@ -41,6 +41,18 @@
     role.kill()
   })
 
+  // A flag that changes how V8 compiles made it reject them: each start compiled 70 modules of Node.js again.
+  it('is given flags with which Node.js uses its code caches of built-in modules', () => {
+    const roles = readRoleFlags(readFileSync(DEPLOY_FILE, 'utf8')) as Array<{ role: string, flags: string[] }>
+    const script = `require('node:http2')
+      const { internalBinding } = require('internal/test/binding')
+      console.log(internalBinding('builtins').getCacheUsage().compiledWithoutCache.size)`
+    for (const { role, flags } of roles) {
+      const compiled = execFileSync(findRuntime(), [...flags, '--expose-internals', '--no-warnings', '-e', script], { encoding: 'utf8' })
+      expect(`${role}: ${compiled.trim()} modules compiled`).toBe(`${role}: 0 modules compiled`)
+    }
+  })
+
   it('gets the flags of each role without its other arguments', () => {
     const file = '[roles.a]\nrun = "target/node --x=1 --y target/a.cjs a"\n[roles.b]\nrun = "target/node target/b.cjs"\n'
     expect(readRoleFlags(file)).toEqual([{ role: 'a', flags: ['--x=1', '--y'] }, { role: 'b', flags: [] }])
