A task's difference in capacity is no reason for a frame to each entry

Cause: when free capacity falls below a quarter of an endpoint, its agent sends a frame at once to each entry that was told of more. The class: a limit without hysteresis. Looked for elsewhere: offers to one entry at a time begin at the same limit, and send one frame, not one to each; not changed.

Change: an entry is told at once if it counts on an eighth of the endpoint more than is free. A smaller difference makes it send no start in vain that the correction would keep from it.

--- a/packages/coordination/src/leased/capacityOffers.ts
+++ b/packages/coordination/src/leased/capacityOffers.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock } from '@hazellift/common'
-import { isScarce, offerCapacity, CAPACITY_OFFER_MS } from '@hazellift/decisions'
+import { isOverstated, offerCapacity, CAPACITY_OFFER_MS } from '@hazellift/decisions'
 import type { OfferCapacity, Resources, EntryDemand } from '@hazellift/decisions'
 import { RoomSchema } from '@hazellift/protocol'
 import type { AgentFrame } from '@hazellift/protocol'
@@ -75,14 +75,14 @@
 
   /**
    * When free capacity has become scarce, sends a frame at once to the entries whose
-   * last report showed it as plentiful, as they would still send starts for it. If
+   * last report showed much more, as they would still send starts for it. If
    * this waited for the next keep-alive frame, three of ten starts would be sent in
    * vain with ten entries and 62 agents.
    */
   private reportScarcity (): void {
     const capacity = this.options.capacity()
-    if (!isScarce(this.options.freeCapacity(), capacity)) return
-    for (const { reportedCapacity, add } of this.options.sessions.values()) if (!isScarce(reportedCapacity, capacity)) add(() => {})
+    const free = this.options.freeCapacity()
+    for (const { reportedCapacity, add } of this.options.sessions.values()) if (isOverstated(reportedCapacity, free, capacity)) add(() => {})
   }
 
   private offerTo (entry: string, remainingOffers: number): void {
--- a/packages/decisions/src/offerCapacity.ts
+++ b/packages/decisions/src/offerCapacity.ts
@@ -33,6 +33,21 @@
 export const isScarce = (free: Resources, capacity: Resources): boolean =>
   free.cpuMilli < capacity.cpuMilli * SCARCE_SHARE
 
+/** An entry that counts on so much more than is free, as a share of the endpoint's capacity, is told before the next keep-alive. */
+const OVERSTATED_SHARE = 0.125
+
+/**
+ * True if an entry would send starts in vain by what it was told last: it was told of
+ * plenty, and little is left. A difference of a task or less is no reason for a frame to
+ * each entry: at an endpoint near the limit of what is scarce, each start would cause one.
+ *
+ * @param told - free capacity that the entry was told of
+ * @param free - what is free now
+ * @param capacity - the endpoint's whole capacity
+ */
+export const isOverstated = (told: Resources, free: Resources, capacity: Resources): boolean =>
+  isScarce(free, capacity) && !isScarce(told, capacity) && told.cpuMilli - free.cpuMilli >= capacity.cpuMilli * OVERSTATED_SHARE
+
 /** Chooses the entry to which free capacity is offered. */
 export type OfferCapacity = (demands: readonly EntryDemand[], current: CurrentOffer, now: number) => string | undefined
 
